--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,357 @@
+//! The module's interface: settings, events and actions as plain data.
+//!
+//! Times are microseconds on the clock of the events; the module knows no other clock.
+
+/// A point in time or a span, in microseconds.
+pub type Micros = u64;
+
+/// Identifies a message at this sender; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MessageId(pub u32);
+
+/// Identifies an endpoint: its address and port. It carries no meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointId(pub [u8; 6]);
+
+/// Identifies a destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct DestinationId(pub u16);
+
+/// Where a keyed repeat is recognised.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// At every endpoint of the destination.
+    All,
+    /// At the endpoints of one zone.
+    Zone,
+    /// At the one endpoint (the narrowest reading of a group that is not known).
+    Endpoint,
+}
+
+/// What repeating a message does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Repeats do no harm.
+    Repeatable,
+    /// Repeats are dropped by the destination for a while after the first that may have run.
+    Keyed {
+        /// Which endpoints drop repeats.
+        group: Group,
+        /// For how long they do.
+        window: Micros,
+    },
+    /// Must never take effect twice.
+    Once,
+}
+
+/// How worth falls once the aim has passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decay {
+    /// Evenly, down to the late worth at the deadline.
+    Line,
+    /// By half with each further aim, not under the late worth.
+    Halves,
+}
+
+/// A class of message.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// What repeating does.
+    pub effect: Effect,
+    /// Full worth is earned within this time.
+    pub aim: Micros,
+    /// The longest time to deliver in.
+    pub deadline: Micros,
+    /// Worth of a message in time.
+    pub worth: f64,
+    /// Share of the worth left at the deadline.
+    pub late_worth: f64,
+    /// Messages sharing a key go one at a time, in order.
+    pub in_order: bool,
+}
+
+/// A tenant and its share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Messages a second, over all senders, within its share.
+    pub quota: f64,
+}
+
+/// A kind of destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Kind {
+    /// Its endpoints are routes apart, each with limit, pace and outages of its own.
+    pub routes_apart: bool,
+    /// Messages that one call carries at most.
+    pub bundle: usize,
+}
+
+/// What the weight of an endpoint's listing says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weights {
+    /// Nothing.
+    None,
+    /// Calls a second that the destination takes from all senders together.
+    Nominal,
+    /// The same, up to half too high or too low.
+    Rough,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Rules {
+    /// A final answer is valid this long after the deadline.
+    pub answer_slack: Micros,
+    /// Where the list is asked for: the longest time without asking.
+    pub ask_every: Option<Micros>,
+    /// A returning destination has at least this share of its capacity.
+    pub cold_share: f64,
+    /// It has all of it after this time.
+    pub warm_within: Micros,
+    /// It falls over when sent this multiple of its present capacity ...
+    pub fall_multiple: f64,
+    /// ... for this long.
+    pub overload_for: Micros,
+    /// Sends to a draining or gone endpoint must have ceased after this.
+    pub drain_grace: Micros,
+    /// Rest of an ordered key after an attempt that may still be executing.
+    pub order_pause: Micros,
+}
+
+/// What an instance is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Classes of message.
+    pub classes: Vec<Class>,
+    /// Tenants; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// Kinds of destination.
+    pub kinds: Vec<Kind>,
+    /// Fee for each zone, for messages that a route apart there takes on.
+    pub tolls: Vec<f64>,
+    /// How worth falls after the aim.
+    pub decay: Decay,
+    /// Calls that may be out at once.
+    pub slots: usize,
+    /// Messages that may be held.
+    pub max_open: usize,
+    /// Most attempts for one message.
+    pub try_limit: u32,
+    /// A message may have two attempts out at once.
+    pub second_copies: bool,
+    /// Attempts may be cancelled.
+    pub cancelling: bool,
+    /// Endpoints may be probed.
+    pub probing: bool,
+    /// Price of a probe, in the unit of a message's worth.
+    pub probe_price: f64,
+    /// Price of a call refused above a limit, in the same unit.
+    pub refused_price: f64,
+    /// A connection not made within this time has failed.
+    pub connect_timeout: Micros,
+    /// An idle connection closes by itself after this time; `Micros::MAX` if it does not.
+    pub idle_close: Micros,
+    /// Longest advice to return later that clients heed.
+    pub max_retry_after: Micros,
+    /// The list of endpoints comes only when asked for.
+    pub must_ask: bool,
+    /// What an endpoint's weight says.
+    pub weights: Weights,
+    /// Share of worth left to a message beyond its tenant's share.
+    pub over_share_worth: f64,
+    /// Places of `x0` (share of the limit left) and `x1` (limit, calls a second) in a load report.
+    pub report: (Option<usize>, Option<usize>),
+    /// Senders of this tier.
+    pub senders: usize,
+    /// Shortest time between two batches of events.
+    pub period: Micros,
+    /// Rules of the users.
+    pub rules: Rules,
+}
+
+/// State of an endpoint in the list. It says nothing of health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// Listed.
+    Ready,
+    /// Nothing new may be sent.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// An entry of the list of endpoints.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The destination it belongs to.
+    pub destination: DestinationId,
+    /// Its zone.
+    pub zone: u16,
+    /// Its kind, a position in [`Settings::kinds`].
+    pub kind: usize,
+    /// Its weight; see [`Weights`].
+    pub weight: f64,
+    /// Its state.
+    pub listing: Listing,
+}
+
+/// A message handed to this sender, which owes it one final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Message {
+    /// Its id.
+    pub id: MessageId,
+    /// Its class, a position in [`Settings::classes`].
+    pub class: usize,
+    /// Its tenant, a position in [`Settings::tenants`].
+    pub tenant: usize,
+    /// The key of its order, if any.
+    pub key: Option<u64>,
+    /// How long it may still be delivered.
+    pub time_left: Micros,
+    /// A guess of the call's time.
+    pub hint: Option<Micros>,
+    /// Where it goes.
+    pub destination: DestinationId,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Delivered.
+    Delivered,
+    /// The destination answered with an error.
+    Error,
+    /// Turned away unseen, with the time to wait if one was told.
+    Full(Option<Micros>),
+    /// No answer in time.
+    TimedOut,
+    /// No connection was made.
+    ConnectFailed,
+    /// The connection broke.
+    Reset,
+    /// Called off.
+    Cancelled,
+    /// Not sent at all.
+    Moot {
+        /// Because no slot was free.
+        no_slot: bool,
+    },
+}
+
+impl Outcome {
+    /// Whether the outcome proves that the attempt never took effect.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Full(_) | Self::ConnectFailed | Self::Moot { .. })
+    }
+}
+
+/// What happened since the last batch.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A message was handed in.
+    Accepted(Message),
+    /// An attempt ended.
+    Ended {
+        /// The message.
+        message: MessageId,
+        /// The attempt's number, from 0.
+        attempt: u16,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// How it ended.
+        outcome: Outcome,
+        /// The message has its final answer.
+        terminal: bool,
+        /// Time since it was sent.
+        took: Micros,
+        /// The load report, if one came.
+        report: Vec<f32>,
+    },
+    /// A streamed answer began: the attempt is now the client's.
+    Streaming {
+        /// The message.
+        message: MessageId,
+    },
+    /// The client has withdrawn the message.
+    Left(MessageId),
+    /// The whole list of endpoints; what is not in it is gone.
+    List(Vec<Entry>),
+    /// Changed entries of the list.
+    Changes(Vec<Entry>),
+    /// Asking for the list failed, or the watch broke.
+    ListFailed,
+    /// A probe came back.
+    Probed {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// How it ended.
+        outcome: Outcome,
+        /// The load report, if one came.
+        report: Vec<f32>,
+    },
+    /// A note from another sender.
+    Note {
+        /// Its rank.
+        from: u16,
+        /// The note.
+        content: Vec<u8>,
+    },
+    /// A reminder came due.
+    Reminder(u64),
+}
+
+/// What the sender is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Call an endpoint with the message.
+    Attempt {
+        /// The message.
+        message: MessageId,
+        /// Where to.
+        endpoint: EndpointId,
+        /// Time-out of the attempt.
+        timeout: Micros,
+    },
+    /// Final answer: handed back; handing it in again is harmless.
+    Refuse {
+        /// The message.
+        message: MessageId,
+        /// Advice on when to return; 0 for none.
+        retry_after: Micros,
+    },
+    /// Final answer: failed.
+    Fail(MessageId),
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The message.
+        message: MessageId,
+        /// The attempt's number.
+        attempt: u16,
+    },
+    /// Probe an endpoint.
+    Probe(EndpointId),
+    /// Close idle connections to an endpoint.
+    CloseIdle(EndpointId),
+    /// Ask to be told of changes of the list.
+    Watch,
+    /// Ask for the whole list once.
+    FetchList,
+    /// Send a note to one sender, or to all.
+    Tell {
+        /// Rank of the receiver; none for all.
+        to: Option<u16>,
+        /// At most 256 bytes.
+        content: Vec<u8>,
+    },
+    /// Ask for a [`Event::Reminder`].
+    Remind {
+        /// When.
+        at: Micros,
+        /// Chosen by the module.
+        token: u64,
+    },
+    /// A line for the operators.
+    Log(String),
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,53 @@
+//! The decisions of a relay: senders that take messages and deliver them to destinations that nobody
+//! here controls. A three-state circuit breaker per destination decides the ordinary path; the module does
+//! no I/O, knows no clock but that of its events, and shares nothing between instances.
+//!
+//! A sender tells [`policy::Policy::handle`] what happened and carries out the actions it gets back:
+//!
+//! ```
+//! use stonewood::interface::*;
+//! use stonewood::policy::Policy;
+//!
+//! # let json = br#"{"classes": [{"effect": "once", "on_time_us": 4000000, "hard_limit_us": 24000000}],
+//! #   "family_info": {"calls_out": 8}, "limits": {"max_open": 100, "try_limit": 6}, "period_us": 5000,
+//! #   "obligations": {"answer_slack_us": 20000, "cold_share": 0.2, "warm_within_us": 14000000,
+//! #   "fall_multiple": 2, "overload_for_us": 3000000, "stop_sending_within_us": 2000000}}"#;
+//! let settings: Settings = stonewood::wire::settings(json)?;
+//! let mut now: Micros = 1_000_000;
+//! let mut policy = Policy::new(settings, 42, now);
+//!
+//! let endpoint = EndpointId([10, 0, 0, 1, 0x1f, 0x90]);
+//! let destination = DestinationId(7);
+//! let listed = Entry { endpoint, destination, zone: 0, kind: 0, weight: 1.0, listing: Listing::Ready };
+//! let message = Message {
+//!     id: MessageId(1), class: 0, tenant: 0, key: None, time_left: 24_000_000, hint: None, destination,
+//! };
+//! let mut actions = Vec::new();
+//! policy.handle(now, &[Event::List(vec![listed]), Event::Accepted(message)], &mut actions);
+//!
+//! for action in actions.drain(..) {
+//!     match action {
+//!         Action::Attempt { message, endpoint, timeout } => {
+//!             println!("call {endpoint:?} with {message:?}, wait {timeout} microseconds at most");
+//!         }
+//!         Action::Remind { at, token } => println!("send Event::Reminder({token}) at {at}"),
+//!         other => println!("{other:?}"),
+//!     }
+//! }
+//!
+//! // Later the answer comes. It is terminal: the client has been told by the sender.
+//! now += 200_000;
+//! let answer = Event::Ended {
+//!     message: MessageId(1), attempt: 0, endpoint, outcome: Outcome::Delivered,
+//!     terminal: true, took: 200_000, report: vec![],
+//! };
+//! policy.handle(now, &[answer], &mut actions);
+//! assert!(!actions.iter().any(|a| matches!(a, Action::Attempt { .. })));
+//! # Ok::<(), stonewood::wire::WireError>(())
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod interface;
+pub mod policy;
+pub mod wire;
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,563 @@
+//! The bench's wire: frames, records and the settings' JSON. No decisions are made here.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::{self, Read};
+
+use serde::Deserialize;
+
+use crate::interface::*;
+
+const EVENT_SIZE: usize = 48;
+const ACTION_SIZE: usize = 24;
+const ENTRY_SIZE: usize = 24;
+const LISTS: usize = 16;
+const ALL_PEERS: u16 = u16::MAX;
+
+/// What is wrong with the input, in one line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WireError(String);
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+fn fault<T>(text: impl Into<String>) -> Result<T, WireError> {
+    Err(WireError(text.into().replace(['\n', '\r'], " ")))
+}
+
+/// A frame as it was read: the clock, the number of records and the bytes behind the header.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Frame {
+    /// The clock of the batch.
+    pub now: Micros,
+    /// The number of records.
+    pub count: usize,
+    /// Records and tail.
+    pub body: Vec<u8>,
+}
+
+/// What a record says to one instance.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Input {
+    /// The instance starts.
+    Boot {
+        /// Seed of its random numbers.
+        seed: u64,
+        /// Its settings.
+        settings: Box<Settings>,
+    },
+    /// The instance is killed.
+    Teardown,
+    /// Something happened to it.
+    Event(Event),
+}
+
+/// Reads one frame; `None` at the end of the input.
+///
+/// # Errors
+/// Fails when the input ends within a frame or cannot be read.
+pub fn read_frame(input: &mut impl Read) -> Result<Option<Frame>, WireError> {
+    let mut head = Vec::with_capacity(16);
+    let read = |e: io::Error| WireError(format!("input cannot be read: {e}"));
+    input.take(16).read_to_end(&mut head).map_err(read)?;
+    if head.is_empty() {
+        return Ok(None);
+    }
+    if head.len() < 16 {
+        return fault(format!("truncated frame header: {} of 16 bytes", head.len()));
+    }
+    let head = Bytes(&head);
+    let (length, count, now) = (head.u32(0) as usize, head.u32(4) as usize, head.u64(8));
+    if count.checked_mul(EVENT_SIZE).is_none_or(|n| n > length) {
+        return fault(format!("frame of {length} bytes cannot hold {count} records"));
+    }
+    let mut body = Vec::new();
+    input.take(length as u64).read_to_end(&mut body).map_err(read)?;
+    if body.len() < length {
+        return fault(format!("truncated frame: {} of {length} bytes", body.len()));
+    }
+    Ok(Some(Frame { now, count, body }))
+}
+
+/// Little-endian fields at byte positions that are known to be in range.
+struct Bytes<'a>(&'a [u8]);
+
+impl Bytes<'_> {
+    fn array<const N: usize>(&self, at: usize) -> [u8; N] {
+        let mut bytes = [0; N];
+        bytes.copy_from_slice(&self.0[at..at + N]);
+        bytes
+    }
+    fn u16(&self, at: usize) -> u16 {
+        u16::from_le_bytes(self.array(at))
+    }
+    fn u32(&self, at: usize) -> u32 {
+        u32::from_le_bytes(self.array(at))
+    }
+    fn u64(&self, at: usize) -> u64 {
+        u64::from_le_bytes(self.array(at))
+    }
+    fn f32(&self, at: usize) -> f32 {
+        f32::from_le_bytes(self.array(at))
+    }
+    fn message(&self, at: usize) -> MessageId {
+        MessageId(self.u32(at))
+    }
+    fn endpoint(&self, at: usize) -> EndpointId {
+        EndpointId(self.array(at))
+    }
+    fn report(&self, at: usize) -> Result<Vec<f32>, WireError> {
+        match self.0[at] {
+            n @ 0..=4 => Ok((0..n as usize).map(|k| self.f32(at + 1 + 4 * k)).collect()),
+            n => fault(format!("load report with {n} values")),
+        }
+    }
+}
+
+fn outcome(how: u16, note: u32) -> Result<Outcome, WireError> {
+    Ok(match how {
+        0 => Outcome::Delivered,
+        1 => Outcome::Error,
+        2 => Outcome::Full((note > 0).then_some(Micros::from(note) * 1000)),
+        3 => Outcome::TimedOut,
+        4 => Outcome::ConnectFailed,
+        5 => Outcome::Reset,
+        6 => Outcome::Cancelled,
+        7 => Outcome::Moot { no_slot: note == 1 },
+        n => return fault(format!("unknown outcome {n}")),
+    })
+}
+
+/// Decodes frames; keeps the numbered lists that the process was told.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    lists: [Option<Vec<Entry>>; LISTS],
+    /// How many classes each instance that was ever started knows.
+    classes: BTreeMap<u16, usize>,
+}
+
+impl Decoder {
+    /// Decodes a frame into what it says to each instance, in order.
+    ///
+    /// # Errors
+    /// Fails on anything malformed.
+    pub fn decode(&mut self, frame: &Frame) -> Result<Vec<(u16, Input)>, WireError> {
+        if frame.count.checked_mul(EVENT_SIZE).is_none_or(|n| n > frame.body.len()) {
+            return fault("frame shorter than its records");
+        }
+        let (records, tail) = frame.body.split_at(frame.count * EVENT_SIZE);
+        let mut used = 0;
+        let mut inputs = Vec::with_capacity(frame.count);
+        for record in records.chunks_exact(EVENT_SIZE) {
+            let r = Bytes(record);
+            let mut data = |at: usize, size: usize| {
+                let (start, n) = (r.u32(at) as usize, r.u32(at + 4) as usize);
+                let end = n.checked_mul(size).and_then(|n| n.checked_add(start));
+                match end.and_then(|end| tail.get(start..end)) {
+                    Some(bytes) => {
+                        used = used.max(start + bytes.len());
+                        Ok(bytes)
+                    }
+                    None => fault(format!("data at {start} for {n} lies outside the tail")),
+                }
+            };
+            let event = match record[0] {
+                4 => {
+                    let id = r.u32(1) as usize;
+                    let entries = data(5, ENTRY_SIZE)?;
+                    let list = entries
+                        .chunks_exact(ENTRY_SIZE)
+                        .map(|e| entry(&Bytes(e)))
+                        .collect::<Result<_, _>>()?;
+                    match self.lists.get_mut(id) {
+                        Some(place) => *place = Some(list),
+                        None => return fault(format!("list number {id} out of range")),
+                    }
+                    continue;
+                }
+                8 => {
+                    let settings = Box::new(settings(data(11, 1)?)?);
+                    self.classes.insert(r.u16(1), settings.classes.len());
+                    inputs.push((r.u16(1), Input::Boot { seed: r.u64(3), settings }));
+                    continue;
+                }
+                9 => {
+                    inputs.push((r.u16(1), Input::Teardown));
+                    continue;
+                }
+                1 => Event::Note { from: r.u16(3), content: data(5, 1)?.to_vec() },
+                2 => Event::Streaming { message: r.message(3) },
+                3 => {
+                    let known = self.classes.get(&r.u16(1)).copied().unwrap_or(0);
+                    match r.u16(7) {
+                        class if usize::from(class) < known => accepted(&r)?,
+                        class => {
+                            return fault(format!("message of class {class}; its instance knows {known}"));
+                        }
+                    }
+                }
+                5 => Event::Left(r.message(3)),
+                6 => self.news(&r)?,
+                7 => Event::Ended {
+                    message: r.message(3),
+                    attempt: r.u16(13),
+                    endpoint: r.endpoint(15),
+                    outcome: outcome(r.u16(7), r.u32(9))?,
+                    terminal: record[21] != 0,
+                    took: r.u32(22).into(),
+                    report: r.report(26)?,
+                },
+                10 => Event::Reminder(r.u64(3)),
+                11 => Event::Probed {
+                    endpoint: r.endpoint(3),
+                    outcome: outcome(r.u16(13), 0)?,
+                    report: r.report(15)?,
+                },
+                code => return fault(format!("unknown event code {code}")),
+            };
+            if !self.classes.contains_key(&r.u16(1)) {
+                return fault(format!("event for instance {}, which was never started", r.u16(1)));
+            }
+            inputs.push((r.u16(1), Input::Event(event)));
+        }
+        if used < tail.len() {
+            return fault(format!("over-long frame: {} bytes belong to no record", tail.len() - used));
+        }
+        Ok(inputs)
+    }
+
+    fn news(&self, r: &Bytes) -> Result<Event, WireError> {
+        let kind = r.0[3];
+        if kind == 1 {
+            return Ok(Event::ListFailed);
+        }
+        let id = r.u32(4) as usize;
+        let Some(Some(list)) = self.lists.get(id) else {
+            return fault(format!("news refers to list {id}, which was never told"));
+        };
+        match kind {
+            0 => Ok(Event::Changes(list.clone())),
+            2 | 3 => Ok(Event::List(list.clone())),
+            n => fault(format!("unknown kind of list news {n}")),
+        }
+    }
+}
+
+fn accepted(r: &Bytes) -> Result<Event, WireError> {
+    let destination = r.f32(29);
+    if destination.fract() != 0.0 || !(0.0..=f32::from(u16::MAX)).contains(&destination) {
+        return fault(format!("destination {destination} is no number of one"));
+    }
+    let (key, options) = (r.u64(13), r.u16(33));
+    Ok(Event::Accepted(Message {
+        id: r.message(3),
+        class: r.u16(7).into(),
+        tenant: r.u32(9) as usize,
+        key: (key != 0).then_some(key),
+        time_left: r.u32(21).into(),
+        hint: (options & 1 != 0).then(|| r.u32(25).into()),
+        destination: DestinationId(destination as u16),
+    }))
+}
+
+fn entry(e: &Bytes) -> Result<Entry, WireError> {
+    Ok(Entry {
+        zone: e.u16(0),
+        kind: e.0[2].into(),
+        weight: f64::from(e.f32(3)),
+        endpoint: e.endpoint(7),
+        destination: DestinationId(e.u16(13)),
+        listing: match e.0[15] {
+            0 => Listing::Gone,
+            1 => Listing::Ready,
+            2 => Listing::Draining,
+            n => return fault(format!("unknown status {n} in a list")),
+        },
+    })
+}
+
+/// Encodes the reply to a batch: for each instance its actions, in order.
+pub fn encode(reply: &[(u16, Vec<Action>)]) -> Vec<u8> {
+    let (mut records, mut tail) = (Vec::new(), Vec::new());
+    for (instance, action) in reply.iter().flat_map(|(i, actions)| actions.iter().map(move |a| (i, a))) {
+        let mut r = Vec::with_capacity(ACTION_SIZE);
+        let mut begin = |code: u8| {
+            r.push(code);
+            r.extend(instance.to_le_bytes());
+        };
+        match action {
+            Action::Attempt { message, endpoint, timeout } => {
+                begin(65);
+                r.extend(message.0.to_le_bytes());
+                r.extend(endpoint.0);
+                r.extend(short(*timeout).to_le_bytes());
+            }
+            Action::Refuse { message, retry_after } => {
+                begin(66);
+                r.extend(message.0.to_le_bytes());
+                r.extend(short(*retry_after).to_le_bytes());
+            }
+            Action::Fail(message) => {
+                begin(67);
+                r.extend(message.0.to_le_bytes());
+            }
+            Action::Cancel { message, attempt } => {
+                begin(68);
+                r.extend(message.0.to_le_bytes());
+                r.extend(attempt.to_le_bytes());
+            }
+            Action::Remind { at, token } => {
+                begin(69);
+                r.extend(at.to_le_bytes());
+                r.extend(token.to_le_bytes());
+            }
+            Action::Probe(endpoint) => {
+                begin(70);
+                r.extend(endpoint.0);
+            }
+            Action::CloseIdle(endpoint) => {
+                begin(71);
+                r.extend(endpoint.0);
+            }
+            Action::Tell { to, content } => {
+                begin(72);
+                r.extend(to.unwrap_or(ALL_PEERS).to_le_bytes());
+                append(&mut r, &mut tail, content);
+            }
+            Action::Log(text) => {
+                begin(73);
+                append(&mut r, &mut tail, text.as_bytes());
+            }
+            Action::Watch => {
+                begin(75);
+                r.push(1);
+            }
+            Action::FetchList => begin(76),
+        }
+        r.resize(ACTION_SIZE, 0);
+        records.extend(r);
+    }
+    let count = records.len() / ACTION_SIZE;
+    let mut frame = Vec::with_capacity(8 + records.len() + tail.len());
+    frame.extend(((records.len() + tail.len()) as u32).to_le_bytes());
+    frame.extend((count as u32).to_le_bytes());
+    frame.extend(records);
+    frame.extend(tail);
+    frame
+}
+
+fn short(span: Micros) -> u32 {
+    u32::try_from(span).unwrap_or(u32::MAX)
+}
+
+fn append(record: &mut Vec<u8>, tail: &mut Vec<u8>, data: &[u8]) {
+    record.extend((tail.len() as u32).to_le_bytes());
+    record.extend((data.len() as u32).to_le_bytes());
+    tail.extend(data);
+}
+
+#[derive(Deserialize)]
+struct RawClass {
+    effect: String,
+    #[serde(default)]
+    group: Option<String>,
+    #[serde(default)]
+    dedup_window_us: Option<f64>,
+    on_time_us: f64,
+    hard_limit_us: f64,
+    #[serde(default = "one")]
+    importance: f64,
+    #[serde(default)]
+    late_worth: Option<f64>,
+    #[serde(default)]
+    in_order: Option<bool>,
+}
+
+#[derive(Deserialize)]
+struct RawRealm {
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+struct RawFamily {
+    calls_out: usize,
+    #[serde(default)]
+    own_limits: Vec<bool>,
+    #[serde(default)]
+    bundle_max: Vec<usize>,
+    #[serde(default)]
+    decay: Option<String>,
+    #[serde(default)]
+    turned_away_price: Option<f64>,
+    #[serde(default)]
+    toll: Vec<f64>,
+}
+
+#[derive(Deserialize)]
+struct RawLimits {
+    #[serde(default)]
+    cancelling: bool,
+    #[serde(default)]
+    probing: bool,
+    #[serde(default)]
+    second_copies: bool,
+    #[serde(default)]
+    connect_timeout_us: f64,
+    #[serde(default)]
+    idle_close_us: Option<f64>,
+    max_open: usize,
+    #[serde(default)]
+    max_retry_after_us: f64,
+    try_limit: u32,
+}
+
+#[derive(Deserialize)]
+struct RawObligations {
+    answer_slack_us: f64,
+    #[serde(default)]
+    ask_every_us: Option<f64>,
+    cold_share: f64,
+    warm_within_us: f64,
+    fall_multiple: f64,
+    overload_for_us: f64,
+    stop_sending_within_us: f64,
+    #[serde(default)]
+    order_pause_us: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+struct RawReport {
+    #[serde(default)]
+    fields: Vec<String>,
+}
+
+#[derive(Deserialize, Default)]
+struct RawCharges {
+    #[serde(default)]
+    probe: f64,
+}
+
+#[derive(Deserialize)]
+struct RawSettings {
+    classes: Vec<RawClass>,
+    #[serde(default)]
+    realms: Vec<RawRealm>,
+    #[serde(default)]
+    skus: Vec<serde_json::Value>,
+    family_info: RawFamily,
+    limits: RawLimits,
+    obligations: RawObligations,
+    #[serde(default)]
+    load_report: RawReport,
+    #[serde(default)]
+    charges: RawCharges,
+    #[serde(default)]
+    balancers: Option<usize>,
+    #[serde(default)]
+    discovery: Option<String>,
+    #[serde(default)]
+    weights: Option<String>,
+    #[serde(default = "one")]
+    over_share_worth: f64,
+    period_us: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Whole microseconds of a figure; what is negative or not a number is 0.
+fn micros(figure: f64) -> Micros {
+    figure as Micros
+}
+
+/// Reads the settings from their JSON; unknown keys are ignored.
+///
+/// # Errors
+/// Fails when the text is not JSON or lacks what is needed.
+pub fn settings(json: &[u8]) -> Result<Settings, WireError> {
+    let raw: RawSettings = match serde_json::from_slice(json) {
+        Ok(raw) => raw,
+        Err(e) => return fault(format!("settings: {e}")),
+    };
+    let field = |name: &str| raw.load_report.fields.iter().position(|f| f == name);
+    let family = &raw.family_info;
+    let kinds = raw.skus.len().max(family.own_limits.len()).max(family.bundle_max.len());
+    let o = &raw.obligations;
+    Ok(Settings {
+        classes: raw.classes.iter().map(class).collect::<Result<_, _>>()?,
+        tenants: raw.realms.iter().map(|r| Tenant { quota: r.quota_per_s }).collect(),
+        kinds: (0..kinds)
+            .map(|k| Kind {
+                routes_apart: family.own_limits.get(k).copied().unwrap_or(false),
+                bundle: family.bundle_max.get(k).copied().unwrap_or(1).max(1),
+            })
+            .collect(),
+        tolls: family.toll.clone(),
+        decay: match family.decay.as_deref() {
+            None | Some("line") => Decay::Line,
+            Some("halves") => Decay::Halves,
+            Some(other) => return fault(format!("settings: unknown decay {other:?}")),
+        },
+        slots: family.calls_out,
+        max_open: raw.limits.max_open,
+        try_limit: raw.limits.try_limit,
+        second_copies: raw.limits.second_copies,
+        cancelling: raw.limits.cancelling,
+        probing: raw.limits.probing,
+        probe_price: raw.charges.probe,
+        refused_price: family.turned_away_price.unwrap_or(0.0),
+        connect_timeout: micros(raw.limits.connect_timeout_us),
+        idle_close: raw.limits.idle_close_us.map_or(Micros::MAX, micros),
+        max_retry_after: micros(raw.limits.max_retry_after_us),
+        must_ask: raw.discovery.as_deref() == Some("ask"),
+        weights: match raw.weights.as_deref() {
+            Some("nominal") => Weights::Nominal,
+            Some("rough") => Weights::Rough,
+            _ => Weights::None,
+        },
+        over_share_worth: raw.over_share_worth,
+        report: (field("x0"), field("x1")),
+        senders: raw.balancers.unwrap_or(1).max(1),
+        period: micros(raw.period_us).max(1),
+        rules: Rules {
+            answer_slack: micros(o.answer_slack_us),
+            ask_every: o.ask_every_us.map(micros),
+            cold_share: o.cold_share,
+            warm_within: micros(o.warm_within_us),
+            fall_multiple: o.fall_multiple,
+            overload_for: micros(o.overload_for_us),
+            drain_grace: micros(o.stop_sending_within_us),
+            order_pause: micros(o.order_pause_us.unwrap_or(0.0)),
+        },
+    })
+}
+
+fn class(raw: &RawClass) -> Result<Class, WireError> {
+    let effect = match raw.effect.as_str() {
+        "repeatable" => Effect::Repeatable,
+        "once" => Effect::Once,
+        "by_key" => Effect::Keyed {
+            group: match raw.group.as_deref() {
+                None | Some("all") => Group::All,
+                Some("zone") => Group::Zone,
+                Some(_) => Group::Endpoint,
+            },
+            window: micros(raw.dedup_window_us.unwrap_or(0.0)),
+        },
+        other => return fault(format!("settings: unknown effect {other:?}")),
+    };
+    Ok(Class {
+        effect,
+        aim: micros(raw.on_time_us),
+        deadline: micros(raw.hard_limit_us),
+        worth: raw.importance,
+        late_worth: raw.late_worth.unwrap_or(0.0),
+        in_order: raw.in_order.unwrap_or(false),
+    })
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,235 @@
+//! A sender's surroundings in small, for driving the module alone.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use stonewood::interface::*;
+use stonewood::policy::Policy;
+
+pub const SECOND: Micros = 1_000_000;
+pub const START: Micros = 1_000 * SECOND;
+pub const DEST: DestinationId = DestinationId(7);
+pub const KEYED: usize = 0;
+pub const ONCE: usize = 1;
+pub const SAFE: usize = 2;
+pub const ORDERED: usize = 3;
+
+pub fn settings() -> Settings {
+    let class = |effect, in_order| Class {
+        effect,
+        aim: 4 * SECOND,
+        deadline: 20 * SECOND,
+        worth: 1.0,
+        late_worth: 0.5,
+        in_order,
+    };
+    let keyed = Effect::Keyed { group: Group::All, window: 6 * SECOND };
+    Settings {
+        classes: vec![
+            class(keyed, false),
+            class(Effect::Once, false),
+            class(Effect::Repeatable, false),
+            class(Effect::Repeatable, true),
+        ],
+        tenants: vec![],
+        kinds: vec![
+            Kind { routes_apart: false, bundle: 1 },
+            Kind { routes_apart: true, bundle: 1 },
+            Kind { routes_apart: false, bundle: 5 },
+        ],
+        tolls: vec![0.0, 0.1],
+        decay: Decay::Line,
+        slots: 8,
+        max_open: 64,
+        try_limit: 4,
+        second_copies: false,
+        cancelling: true,
+        probing: false,
+        probe_price: 0.0,
+        refused_price: 0.0,
+        connect_timeout: SECOND,
+        idle_close: 5 * SECOND,
+        max_retry_after: 3 * SECOND,
+        must_ask: false,
+        weights: Weights::None,
+        over_share_worth: 0.1,
+        report: (Some(0), Some(1)),
+        senders: 1,
+        period: 5_000,
+        rules: Rules {
+            answer_slack: 20_000,
+            ask_every: Some(10 * SECOND),
+            cold_share: 0.2,
+            warm_within: 14 * SECOND,
+            fall_multiple: 2.0,
+            overload_for: 3 * SECOND,
+            drain_grace: 2 * SECOND,
+            order_pause: SECOND,
+        },
+    }
+}
+
+pub fn endpoint(n: u8) -> EndpointId {
+    EndpointId([10, 0, 0, n, 0x1b, 0x58])
+}
+
+pub fn entry(n: u8, kind: usize) -> Entry {
+    Entry {
+        endpoint: endpoint(n),
+        destination: DEST,
+        zone: u16::from(n % 2),
+        kind,
+        weight: 1.0,
+        listing: Listing::Ready,
+    }
+}
+
+/// An attempt that has no outcome yet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Out {
+    pub message: MessageId,
+    pub attempt: u16,
+    pub endpoint: EndpointId,
+    pub sent: Micros,
+    pub until: Micros,
+}
+
+/// The module with its attempts, answers and reminders.
+pub struct Sender {
+    pub policy: Policy,
+    pub now: Micros,
+    pub out: Vec<Out>,
+    pub sent: Vec<Out>,
+    pub refused: Vec<(MessageId, Micros)>,
+    pub failed: Vec<MessageId>,
+    pub other: Vec<Action>,
+    tries: BTreeMap<MessageId, u16>,
+    reminders: Vec<(Micros, u64)>,
+    next: u32,
+}
+
+impl Sender {
+    pub fn new(settings: Settings, entries: &[Entry]) -> Self {
+        let mut sender = Self {
+            policy: Policy::new(settings, 42, START),
+            now: START,
+            out: vec![],
+            sent: vec![],
+            refused: vec![],
+            failed: vec![],
+            other: vec![],
+            tries: BTreeMap::new(),
+            reminders: vec![],
+            next: 0,
+        };
+        sender.tell(vec![Event::List(entries.to_vec())]);
+        sender
+    }
+
+    pub fn tell(&mut self, events: Vec<Event>) {
+        let mut actions = vec![];
+        self.policy.handle(self.now, &events, &mut actions);
+        for action in actions {
+            match action {
+                Action::Attempt { message, endpoint, timeout } => {
+                    let tries = self.tries.entry(message).or_default();
+                    let attempt = *tries;
+                    *tries += 1;
+                    let until = self.now + timeout;
+                    let out = Out { message, attempt, endpoint, sent: self.now, until };
+                    self.out.push(out);
+                    self.sent.push(out);
+                }
+                Action::Refuse { message, retry_after } => self.refused.push((message, retry_after)),
+                Action::Fail(message) => self.failed.push(message),
+                Action::Remind { at, token } => self.reminders.push((at, token)),
+                other => self.other.push(other),
+            }
+        }
+    }
+
+    pub fn message(&mut self, class: usize, key: Option<u64>, time_left: Micros) -> Message {
+        self.next += 1;
+        let id = MessageId(self.next);
+        Message { id, class, tenant: 0, key, time_left, hint: None, destination: DEST }
+    }
+
+    pub fn accept(&mut self, class: usize) -> MessageId {
+        self.accept_keyed(class, None)
+    }
+
+    pub fn accept_keyed(&mut self, class: usize, key: Option<u64>) -> MessageId {
+        let message = self.message(class, key, 20 * SECOND);
+        let id = message.id;
+        self.tell(vec![Event::Accepted(message)]);
+        id
+    }
+
+    pub fn ended(&self, out: Out, outcome: Outcome) -> Event {
+        Event::Ended {
+            message: out.message,
+            attempt: out.attempt,
+            endpoint: out.endpoint,
+            outcome,
+            terminal: outcome == Outcome::Delivered,
+            took: self.now - out.sent,
+            report: vec![],
+        }
+    }
+
+    /// The oldest attempt that is out ends so.
+    pub fn end(&mut self, outcome: Outcome) {
+        let out = self.out.remove(0);
+        let event = self.ended(out, outcome);
+        self.tell(vec![event]);
+    }
+
+    /// Lets time pass: reminders come due, attempts time out at their time.
+    pub fn pass(&mut self, span: Micros) {
+        let until = self.now + span;
+        loop {
+            let reminder = self.reminders.iter().map(|r| r.0).min();
+            let timeout = self.out.iter().map(|o| o.until).min();
+            let Some(at) = reminder.into_iter().chain(timeout).min().filter(|at| *at <= until) else { break };
+            self.now = at.max(self.now);
+            let now = self.now;
+            let mut events = vec![];
+            self.reminders.retain(|r| {
+                if r.0 <= now {
+                    events.push(Event::Reminder(r.1));
+                }
+                r.0 > now
+            });
+            let (over, out): (Vec<_>, Vec<_>) = self.out.iter().partition(|o| o.until <= now);
+            self.out = out;
+            events.extend(over.into_iter().map(|o| self.ended(o, Outcome::TimedOut)));
+            self.tell(events);
+        }
+        self.now = until;
+    }
+
+    /// Messages served one after the other, each in a tenth of a second, four a second.
+    pub fn serve(&mut self, messages: usize) {
+        for _ in 0..messages {
+            self.accept(SAFE);
+            self.pass(SECOND / 10);
+            while !self.out.is_empty() {
+                self.end(Outcome::Delivered);
+            }
+            self.pass(SECOND * 3 / 20);
+        }
+    }
+
+    /// That many calls end so, each as soon as one is out.
+    pub fn suffer(&mut self, calls: usize, outcome: Outcome) {
+        for _ in 0..calls {
+            self.accept(SAFE);
+            for _ in 0..400 {
+                if !self.out.is_empty() {
+                    break;
+                }
+                self.pass(SECOND / 20);
+            }
+            self.end(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,236 @@
+//! Frames in and out, and what is malformed.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+use stonewood::interface::*;
+use stonewood::wire::{Decoder, Frame, Input, encode, read_frame, settings};
+
+const SETTINGS: &str = r#"{
+  "classes": [{"name": "a", "effect": "by_key", "group": "zone", "dedup_window_us": 9000000,
+               "on_time_us": 2000000, "hard_limit_us": 9000000, "importance": 2.0, "late_worth": 0.25},
+              {"name": "b", "effect": "once", "on_time_us": 1000000, "hard_limit_us": 8000000, "in_order": true}],
+  "family_info": {"calls_out": 5, "own_limits": [true, false], "bundle_max": [1, 4], "decay": "halves"},
+  "limits": {"max_open": 50, "try_limit": 3, "probing": true, "connect_timeout_us": 700000},
+  "load_report": {"fields": ["q", "x1", "x0"]},
+  "obligations": {"answer_slack_us": 20000, "cold_share": 0.2, "warm_within_us": 9000000,
+                  "fall_multiple": 2.5, "overload_for_us": 2000000, "stop_sending_within_us": 250000},
+  "skus": ["p", "q"], "weights": "nominal", "discovery": "ask", "period_us": 5000, "later": {"unknown": 1}
+}"#;
+
+fn record(code: u8, fields: &[(usize, &[u8])]) -> Vec<u8> {
+    let mut record = vec![0; 48];
+    record[0] = code;
+    for (at, bytes) in fields {
+        record[*at..at + bytes.len()].copy_from_slice(bytes);
+    }
+    record
+}
+
+fn frame(records: &[Vec<u8>], tail: &[u8]) -> Vec<u8> {
+    let mut frame = Vec::new();
+    frame.extend(((records.len() * 48 + tail.len()) as u32).to_le_bytes());
+    frame.extend((records.len() as u32).to_le_bytes());
+    frame.extend(77u64.to_le_bytes());
+    records.iter().for_each(|r| frame.extend(r));
+    frame.extend(tail);
+    frame
+}
+
+fn boot(json: &str) -> Vec<u8> {
+    let length = (json.len() as u32).to_le_bytes();
+    frame(&[record(8, &[(1, &[3]), (3, &[9]), (15, &length)])], json.as_bytes())
+}
+
+fn decode(bytes: &[u8]) -> Result<Vec<(u16, Input)>, String> {
+    let mut decoder = Decoder::default();
+    let mut all = Vec::new();
+    let mut input = bytes;
+    while let Some(frame) = read_frame(&mut input).map_err(|e| e.to_string())? {
+        all.extend(decoder.decode(&frame).map_err(|e| e.to_string())?);
+    }
+    Ok(all)
+}
+
+fn after_boot(records: &[Vec<u8>], tail: &[u8]) -> Result<Vec<Input>, String> {
+    let mut bytes = boot(SETTINGS);
+    bytes.extend(frame(records, tail));
+    Ok(decode(&bytes)?.into_iter().skip(1).map(|(_, input)| input).collect())
+}
+
+#[test]
+fn settings_are_read_and_unknown_keys_passed_over() {
+    let s = settings(SETTINGS.as_bytes()).expect("well formed");
+    assert_eq!(s.classes[0].effect, Effect::Keyed { group: Group::Zone, window: 9_000_000 });
+    assert_eq!((s.classes[0].worth, s.classes[1].worth), (2.0, 1.0));
+    assert!(s.classes[1].in_order && s.must_ask && s.probing && !s.second_copies);
+    assert_eq!(s.kinds[0], Kind { routes_apart: true, bundle: 1 });
+    assert_eq!(s.kinds[1], Kind { routes_apart: false, bundle: 4 });
+    assert_eq!((s.report, s.weights, s.decay), ((Some(2), Some(1)), Weights::Nominal, Decay::Halves));
+    assert_eq!((s.slots, s.max_open, s.senders), (5, 50, 1));
+}
+
+#[test]
+fn a_message_is_read() {
+    let fields: &[(usize, &[u8])] = &[
+        (1, &[3]),
+        (3, &7u32.to_le_bytes()),
+        (7, &1u16.to_le_bytes()),
+        (13, &99u64.to_le_bytes()),
+        (21, &5_000u32.to_le_bytes()),
+        (29, &12f32.to_le_bytes()),
+    ];
+    let expected = Message {
+        id: MessageId(7),
+        class: 1,
+        tenant: 0,
+        key: Some(99),
+        time_left: 5_000,
+        hint: None,
+        destination: DestinationId(12),
+    };
+    assert_eq!(after_boot(&[record(3, fields)], b""), Ok(vec![Input::Event(Event::Accepted(expected))]));
+}
+
+#[test]
+fn an_outcome_is_read_with_its_wait_in_milliseconds() {
+    let fields: &[(usize, &[u8])] =
+        &[(1, &[3]), (3, &[7]), (7, &[2]), (9, &250u32.to_le_bytes()), (13, &[1]), (15, &[1, 2, 3, 4, 5, 6])];
+    let inputs = after_boot(&[record(7, fields)], b"").expect("well formed");
+    let Input::Event(Event::Ended { outcome, attempt, endpoint, terminal, .. }) = &inputs[0] else {
+        panic!("{inputs:?}")
+    };
+    assert_eq!((*outcome, *attempt, *terminal), (Outcome::Full(Some(250_000)), 1, false));
+    assert_eq!(*endpoint, EndpointId([1, 2, 3, 4, 5, 6]));
+}
+
+#[test]
+fn a_list_number_is_resolved_in_the_order_of_events() {
+    let mut entries = vec![0u8; 48];
+    entries[15] = 1;
+    entries[24 + 15] = 2;
+    let list = |offset: u8| record(4, &[(5, &[offset, 0, 0, 0, 1, 0, 0, 0])]);
+    let news = record(6, &[(1, &[3]), (3, &[2])]);
+    let inputs =
+        after_boot(&[list(0), news.clone(), list(24), news], &entries).expect("a repeated number is legal");
+    let listing = |input: &Input| match input {
+        Input::Event(Event::List(list)) => list[0].listing,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!((listing(&inputs[0]), listing(&inputs[1])), (Listing::Ready, Listing::Draining));
+}
+
+#[test]
+fn actions_are_written_as_the_contract_shows() {
+    let endpoint = EndpointId([0x0a, 0x12, 0x4a, 0x07, 0x5b, 0x1b]);
+    let message = MessageId(0x5d3a_91c4);
+    let reply = encode(&[
+        (3, vec![Action::Attempt { message, endpoint, timeout: 80_000 }]),
+        (5, vec![Action::Log("ab".into()), Action::Watch]),
+    ]);
+    assert_eq!(reply[..8], [74, 0, 0, 0, 3, 0, 0, 0]);
+    let attempt =
+        [0x41, 3, 0, 0xc4, 0x91, 0x3a, 0x5d, 0x0a, 0x12, 0x4a, 0x07, 0x5b, 0x1b, 0x80, 0x38, 0x01, 0];
+    assert_eq!(reply[8..25], attempt);
+    assert_eq!(reply[32..46], [0x49, 5, 0, 0, 0, 0, 0, 2, 0, 0, 0, 0, 0, 0]);
+    assert_eq!(reply[56..60], [0x4b, 5, 0, 1]);
+    assert_eq!(reply[80..], *b"ab");
+    let message = MessageId(1);
+    let all = vec![
+        Action::Refuse { message, retry_after: 5 },
+        Action::Fail(message),
+        Action::Cancel { message, attempt: 2 },
+        Action::Remind { at: 9, token: 1 },
+        Action::Probe(endpoint),
+        Action::CloseIdle(endpoint),
+        Action::Tell { to: None, content: vec![1] },
+        Action::FetchList,
+    ];
+    let reply = encode(&[(0, all)]);
+    let codes: Vec<u8> = reply[8..8 + 8 * 24].chunks(24).map(|r| r[0]).collect();
+    assert_eq!(codes, [66, 67, 68, 69, 70, 71, 72, 76]);
+}
+
+#[test]
+fn empty_batches_are_legal() {
+    assert_eq!(decode(&frame(&[], b"")), Ok(vec![]));
+    assert_eq!(decode(b""), Ok(vec![]));
+}
+
+#[test]
+fn what_is_malformed_is_named() {
+    let news = record(6, &[(1, &[3]), (3, &[2])]);
+    let cases: Vec<(Result<Vec<Input>, String>, &str)> = vec![
+        (after_boot(&[record(99, &[])], b""), "unknown event code 99"),
+        (after_boot(&[news], b""), "list 0, which was never told"),
+        (after_boot(&[record(4, &[(5, &[9, 0, 0, 0, 1])])], b""), "outside the tail"),
+        (after_boot(&[record(4, &[(1, &[16])])], b""), "list number 16 out of range"),
+        (after_boot(&[], b"xx"), "over-long frame"),
+        (after_boot(&[record(7, &[(1, &[3]), (7, &[8])])], b""), "unknown outcome 8"),
+        (after_boot(&[record(7, &[(1, &[3]), (26, &[5])])], b""), "load report with 5 values"),
+        (after_boot(&[record(3, &[(1, &[3]), (7, &[2])])], b""), "message of class 2"),
+        (after_boot(&[record(3, &[(1, &[3]), (29, &0.5f32.to_le_bytes())])], b""), "destination 0.5"),
+        (after_boot(&[record(10, &[(1, &[4])])], b""), "never started"),
+    ];
+    for (result, text) in cases {
+        let error = result.expect_err(text);
+        assert!(error.contains(text) && !error.contains('\n'), "{error:?} names {text:?}");
+    }
+    for (bytes, text) in [
+        (&frame(&[], b"abc")[..18], "truncated frame"),
+        (&frame(&[], b"")[..7], "truncated frame header"),
+        (&[0, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0][..], "cannot hold 1 records"),
+        (&boot("{")[..], "settings: "),
+        (&boot("{}")[..], "missing field"),
+        (&boot(&SETTINGS.replace("once", "maybe"))[..], "unknown effect"),
+    ] {
+        let error = decode(bytes).expect_err(text);
+        assert!(error.contains(text) && !error.contains('\n'), "{error:?} names {text:?}");
+    }
+    let short = Frame { now: 0, count: 1, body: vec![] };
+    assert!(Decoder::default().decode(&short).is_err());
+}
+
+fn adapter(input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_stonewood-adapter"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    child.stdin.take().expect("piped").write_all(input).expect("the adapter reads");
+    child.wait_with_output().expect("the adapter ends")
+}
+
+#[test]
+fn the_adapter_answers_each_batch_and_ends_with_its_input() {
+    let mut input = frame(&[], b"");
+    input.extend(boot(SETTINGS));
+    // Killed and started in one batch, then an outcome of a message no longer held.
+    let length = (SETTINGS.len() as u32).to_le_bytes();
+    let start = record(8, &[(1, &[3]), (15, &length)]);
+    input.extend(frame(&[record(9, &[(1, &[3])]), start], SETTINGS.as_bytes()));
+    input.extend(frame(&[record(7, &[(1, &[3])]), record(10, &[(1, &[3])])], b""));
+    let output = adapter(&input);
+    assert!(output.status.success());
+    assert!(output.stderr.is_empty());
+    let mut rest = &output.stdout[..];
+    let mut replies = 0;
+    while !rest.is_empty() {
+        let length = u32::from_le_bytes([rest[0], rest[1], rest[2], rest[3]]) as usize;
+        rest = &rest[8 + length..];
+        replies += 1;
+    }
+    assert_eq!(replies, 4);
+}
+
+#[test]
+fn the_adapter_names_a_fault_in_one_line_and_stops() {
+    let mut input = frame(&[], b"");
+    input.extend(frame(&[record(99, &[])], b""));
+    let output = adapter(&input);
+    assert!(!output.status.success());
+    let text = String::from_utf8(output.stderr).expect("plain text");
+    assert_eq!(text, "stonewood-adapter: unknown event code 99\n");
+    assert_eq!(output.stdout, [0; 8], "the reply to the good batch and nothing more");
+}
