--- a/src/bin/stonewood-adapter.rs
+++ b/src/bin/myrtleyard-adapter.rs
@@ -4,15 +4,15 @@
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
 
-use stonewood::interface::{Action, Event};
-use stonewood::policy::Policy;
-use stonewood::wire::{Decoder, Input, encode, read_frame};
+use myrtleyard::interface::{Action, Event};
+use myrtleyard::policy::Policy;
+use myrtleyard::wire::{Decoder, Input, encode, read_frame};
 
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("stonewood-adapter: {e}");
+            eprintln!("myrtleyard-adapter: {e}");
             ExitCode::FAILURE
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,9 +1,9 @@
 //! A sender's surroundings in small, for driving the module alone.
 #![allow(dead_code)]
 
+use myrtleyard::interface::*;
+use myrtleyard::policy::Policy;
 use std::collections::BTreeMap;
-use stonewood::interface::*;
-use stonewood::policy::Policy;
 
 pub const SECOND: Micros = 1_000_000;
 pub const START: Micros = 1_000 * SECOND;
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use stonewood::interface::*;
+use myrtleyard::interface::*;
 
 fn one() -> Sender {
     Sender::new(settings(), &[entry(1, 0)])
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
+use myrtleyard::interface::*;
 use proptest::prelude::*;
-use stonewood::interface::*;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -3,8 +3,8 @@
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
-use stonewood::interface::*;
-use stonewood::wire::{Decoder, Frame, Input, encode, read_frame, settings};
+use myrtleyard::interface::*;
+use myrtleyard::wire::{Decoder, Frame, Input, encode, read_frame, settings};
 
 const SETTINGS: &str = r#"{
   "classes": [{"name": "a", "effect": "by_key", "group": "zone", "dedup_window_us": 9000000,
@@ -192,7 +192,7 @@
 }
 
 fn adapter(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_stonewood-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_myrtleyard-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -231,6 +231,6 @@
     let output = adapter(&input);
     assert!(!output.status.success());
     let text = String::from_utf8(output.stderr).expect("plain text");
-    assert_eq!(text, "stonewood-adapter: unknown event code 99\n");
+    assert_eq!(text, "myrtleyard-adapter: unknown event code 99\n");
     assert_eq!(output.stdout, [0; 8], "the reply to the good batch and nothing more");
 }
