--- a/src/interface.rs
+++ b/src/interface.rs
@@ -252,6 +252,24 @@
 pub enum Event {
     /// A message was handed in.
     Accepted(Message),
+    /// A message that an earlier process of this sender took on is picked up again.
+    Resumed {
+        /// The message, with what is left of its time.
+        message: Message,
+        /// Attempts used so far.
+        attempts: u32,
+        /// Those of them that may have run: how long ago each began, and where.
+        may_have_run: Vec<(Micros, EndpointId)>,
+    },
+    /// This process ends at that time; what is left then is picked up by the next one.
+    Stopping(Micros),
+    /// An endpoint told a wait, in whatever answer.
+    Wait {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Nothing may go to its destination for so long.
+        wait: Micros,
+    },
     /// An attempt ended.
     Ended {
         /// The message.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,39 @@
+//! One real sender: takes messages from clients and delivers them to endpoints, as the decision module says.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod net;
+
+use std::process::ExitCode;
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+use net::{Inbound, config, driver};
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("myrtleyard: {}", e.replace(['\n', '\r'], " "));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let config = config::read()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let (inbound, events) = mpsc::unbounded_channel();
+        let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+        let said = inbound.clone();
+        tokio::task::spawn_local(async move {
+            if terminate.recv().await.is_some() {
+                let _ = said.send(Inbound::Terminate);
+            }
+        });
+        driver::run(config, inbound, events).await
+    })
+}
--- /dev/null
+++ b/src/net/calls.rs
@@ -0,0 +1,560 @@
+//! Calls to endpoints: connections kept and reused, single messages, batches and probes. A request is
+//! written once and never again by itself; how it fared is told by whether its last byte can have left.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::{Future, poll_fn};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Connection, SendRequest};
+use hyper::header::{HeaderMap, RETRY_AFTER};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use myrtleyard::interface::{EndpointId, Event, MessageId, Micros, Outcome};
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc::UnboundedSender, oneshot};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::{AttemptOver, Inbound};
+
+/// An answer of more bytes than this is not read to its end.
+const ANSWER_LIMIT: usize = 1 << 20;
+/// How long the meaningless rest of an answer may take before its connection is given up.
+const REST_OF_ANSWER: Duration = Duration::from_secs(1);
+
+/// A stream that counts what was written to it.
+struct Counted {
+    stream: TcpStream,
+    written: Rc<Cell<u64>>,
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(n)) = &poll {
+            self.written.set(self.written.get() + *n as u64);
+        }
+        poll
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+type Wire = Pin<Box<Connection<TokioIo<Counted>, Full<Bytes>>>>;
+
+/// A connection for one request at a time. It is driven only along with a request, so that dropping it
+/// closes its socket there and then.
+pub struct Conn {
+    sender: SendRequest<Full<Bytes>>,
+    driver: Option<Wire>,
+    written: Rc<Cell<u64>>,
+}
+
+impl Conn {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// Fails when none is made.
+    pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let written = Rc::new(Cell::new(0));
+        let io = TokioIo::new(Counted { stream, written: written.clone() });
+        let (sender, driver) = hyper::client::conn::http1::handshake(io).await.map_err(io::Error::other)?;
+        Ok(Self { sender, driver: Some(Box::pin(driver)), written })
+    }
+
+    /// Runs a future that needs this connection's bytes to move.
+    async fn drive<F: Future>(driver: &mut Option<Wire>, future: F) -> F::Output {
+        let mut future = pin!(future);
+        poll_fn(|cx| {
+            if let Poll::Ready(output) = future.as_mut().poll(cx) {
+                return Poll::Ready(output);
+            }
+            if driver.as_mut().is_some_and(|d| d.as_mut().poll(cx).is_ready()) {
+                *driver = None;
+            }
+            future.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    /// Whether a further request may be written: the other side has not closed, as far as is known.
+    pub async fn usable(&mut self) -> bool {
+        let driver = &mut self.driver;
+        let open =
+            poll_fn(|cx| Poll::Ready(driver.as_mut().is_some_and(|d| d.as_mut().poll(cx).is_pending())));
+        open.await && self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// Fails when the connection breaks; gives the request back if nothing of it was written.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Option<Request<Full<Bytes>>>> {
+        let sent = self.sender.try_send_request(request);
+        Self::drive(&mut self.driver, sent).await.map_err(|mut e| e.take_message())
+    }
+
+    /// Reads the rest of an answer.
+    ///
+    /// # Errors
+    /// Fails when it breaks off or is too long.
+    pub async fn body(&mut self, body: Incoming) -> Result<Bytes, ()> {
+        let whole = Limited::new(body, ANSWER_LIMIT).collect();
+        Self::drive(&mut self.driver, whole).await.map(|b| b.to_bytes()).map_err(|_| ())
+    }
+}
+
+/// Where an endpoint is dialled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Line {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// A message of a call.
+#[derive(Debug, Clone)]
+pub struct Part {
+    /// The message.
+    pub message: MessageId,
+    /// The attempt's number.
+    pub attempt: u16,
+    /// Its `Req-Id`.
+    pub id: String,
+    /// Its `Idempotency-Key`.
+    pub key: Option<String>,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Limits that calls keep to.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// A connection not made within this time has failed.
+    pub connect: Micros,
+    /// Endpoints close connections that stood idle so long.
+    pub idle: Micros,
+    /// Connections to endpoints at most, idle ones counted.
+    pub connections: usize,
+    /// Names of a load report's fields.
+    pub report: Vec<String>,
+}
+
+struct Idle {
+    conn: Conn,
+    since: Instant,
+}
+
+/// Calls off all that travel along; works once.
+type CallOff = Rc<Cell<Option<oneshot::Sender<()>>>>;
+
+struct Shared {
+    limits: Limits,
+    inbound: UnboundedSender<Inbound>,
+    idle: RefCell<HashMap<Line, Vec<Idle>>>,
+    /// Connections that are in use.
+    busy: Cell<usize>,
+    /// For each attempt that is out, what calls it off.
+    out: RefCell<HashMap<(MessageId, u16), CallOff>>,
+}
+
+/// All calls that are out and the connections that stand idle.
+#[derive(Clone)]
+pub struct Calls(Rc<Shared>);
+
+/// What is known of a call in progress when it is broken off.
+#[derive(Default)]
+struct Progress {
+    /// The last byte of the request may have been written.
+    may_run: Cell<bool>,
+}
+
+#[derive(Serialize)]
+struct BatchPart<'a> {
+    id: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    key: Option<&'a str>,
+    body: String,
+}
+
+#[derive(Deserialize)]
+struct BatchEnd {
+    id: String,
+    state: String,
+}
+
+impl Calls {
+    /// No calls yet. Idle connections are looked after by a task of their own.
+    pub fn new(limits: Limits, inbound: UnboundedSender<Inbound>) -> Self {
+        let (idle, busy, out) = (RefCell::default(), Cell::new(0), RefCell::default());
+        let calls = Self(Rc::new(Shared { limits, inbound, idle, busy, out }));
+        let swept = calls.clone();
+        tokio::task::spawn_local(async move {
+            let mut tick = tokio::time::interval(Duration::from_millis(250));
+            loop {
+                tick.tick().await;
+                let shared = &swept.0;
+                shared.idle.borrow_mut().retain(|_, conns| {
+                    conns.retain(|idle| shared.fresh(idle));
+                    !conns.is_empty()
+                });
+            }
+        });
+        calls
+    }
+
+    /// Attempts that are out.
+    pub fn out(&self) -> usize {
+        self.0.out.borrow().len()
+    }
+
+    /// Starts a call with one message or several; its end comes as [`Inbound::CallOver`].
+    pub fn start(&self, line: Line, parts: Vec<Part>, wait: Micros) {
+        let shared = self.0.clone();
+        let (off, called_off) = oneshot::channel();
+        let off = Rc::new(Cell::new(Some(off)));
+        for part in &parts {
+            shared.out.borrow_mut().insert((part.message, part.attempt), off.clone());
+        }
+        tokio::task::spawn_local(async move {
+            let begun = Instant::now();
+            let until = begun + Duration::from_micros(wait);
+            let progress = Progress::default();
+            let rest = tokio::select! {
+                result = timeout_at(until, shared.call(line, &parts, until, &progress)) => match result {
+                    Ok(Ok(answered)) => {
+                        shared.report_ends(line, &parts, begun, &answered);
+                        answered.rest
+                    }
+                    Ok(Err(outcome)) => {
+                        shared.report_end(line, &parts, begun, outcome);
+                        None
+                    }
+                    Err(_) => {
+                        let ran = progress.may_run.get();
+                        let outcome = if ran { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                        shared.report_end(line, &parts, begun, outcome);
+                        None
+                    }
+                },
+                Ok(()) = called_off => {
+                    shared.report_end(line, &parts, begun, Outcome::Cancelled);
+                    None
+                }
+            };
+            if let Some((conn, body)) = rest {
+                shared.finish(line, conn, body).await;
+            }
+        });
+    }
+
+    /// Calls an attempt off by closing its connection, with all that travel along.
+    pub fn cancel(&self, message: MessageId, attempt: u16) {
+        let off = self.0.out.borrow().get(&(message, attempt)).and_then(|off| off.take());
+        if let Some(off) = off {
+            let _ = off.send(());
+        }
+    }
+
+    /// Probes an endpoint; the result comes as [`Event::Probed`].
+    pub fn probe(&self, line: Line) {
+        let shared = self.0.clone();
+        tokio::task::spawn_local(async move {
+            let path = if shared.limits.report.is_empty() { "/health" } else { "/status/load" };
+            let within = Duration::from_micros(shared.limits.connect);
+            let progress = Progress::default();
+            let until = Instant::now() + within;
+            let request = Request::get(path).header("host", line.address.to_string());
+            let asked = async {
+                let request = request.body(Full::default()).map_err(|_| Outcome::ConnectFailed)?;
+                let (mut conn, answer) = shared.exchange(line, request, 0, until, &progress).await?;
+                let (head, body) = answer.into_parts();
+                let body = conn.0.body(body).await.map_err(|()| Outcome::Reset)?;
+                shared.keep(line, conn).await;
+                let mut report = shared.report(&head.headers);
+                if report.is_empty() {
+                    report = std::str::from_utf8(&body).map_or(vec![], |text| shared.fields(text));
+                }
+                Ok((outcome(head.status, &head.headers), report))
+            };
+            let (outcome, report) = match timeout(within, asked).await {
+                Ok(Ok(seen)) => seen,
+                Ok(Err(outcome)) => (outcome, vec![]),
+                Err(_) if progress.may_run.get() => (Outcome::TimedOut, vec![]),
+                Err(_) => (Outcome::ConnectFailed, vec![]),
+            };
+            let endpoint = line.endpoint;
+            let _ = shared.inbound.send(Inbound::Event(Event::Probed { endpoint, outcome, report }));
+        });
+    }
+
+    /// Closes the idle connections to an endpoint.
+    pub fn close_idle(&self, endpoint: EndpointId) {
+        self.0.idle.borrow_mut().retain(|line, _| line.endpoint != endpoint);
+    }
+}
+
+/// Counts a connection as in use until it is dropped.
+struct InUse(Rc<Shared>);
+
+impl InUse {
+    fn new(shared: &Rc<Shared>) -> Self {
+        shared.busy.set(shared.busy.get() + 1);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for InUse {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+    }
+}
+
+/// A connection in use.
+struct Busy(Conn, InUse);
+
+/// An answer to a call, read as far as it has a meaning.
+struct Answered {
+    ends: Vec<(Outcome, bool)>,
+    report: Vec<f32>,
+    wait: Option<Micros>,
+    rest: Option<(Busy, Option<Incoming>)>,
+}
+
+impl Shared {
+    fn fresh(&self, idle: &Idle) -> bool {
+        // Guards against writing to a connection that the endpoint closes at that moment.
+        idle.since.elapsed().as_micros() < u128::from(self.limits.idle / 5 * 4)
+    }
+
+    fn take_idle(&self, line: Line) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let conns = idle.get_mut(&line)?;
+        conns.retain(|idle| self.fresh(idle));
+        Some(conns.pop()?.conn)
+    }
+
+    /// Makes room for one more connection by closing the one that has been idle the longest.
+    fn make_room(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let count: usize = idle.values().map(Vec::len).sum();
+        if count > 0 && count + self.busy.get() >= self.limits.connections {
+            let oldest = idle.iter().filter_map(|(l, c)| Some((c.first()?.since, *l))).min_by_key(|o| o.0);
+            if let Some(conns) = oldest.and_then(|o| idle.get_mut(&o.1)) {
+                conns.remove(0);
+            }
+        }
+    }
+
+    async fn connect(
+        self: &Rc<Self>,
+        line: Line,
+        until: Instant,
+        may_reuse: bool,
+    ) -> Result<(Busy, bool), Outcome> {
+        let in_use = InUse::new(self);
+        while let Some(mut conn) = may_reuse.then(|| self.take_idle(line)).flatten() {
+            if conn.usable().await {
+                return Ok((Busy(conn, in_use), true));
+            }
+        }
+        self.make_room();
+        let until = until.min(Instant::now() + Duration::from_micros(self.limits.connect));
+        match timeout_at(until, Conn::open(line.address)).await {
+            Ok(Ok(conn)) => Ok((Busy(conn, in_use), false)),
+            _ => Err(Outcome::ConnectFailed),
+        }
+    }
+
+    /// One request and the head of its answer. `length` is that of its body.
+    async fn exchange(
+        self: &Rc<Self>,
+        line: Line,
+        mut request: Request<Full<Bytes>>,
+        length: usize,
+        until: Instant,
+        progress: &Progress,
+    ) -> Result<(Busy, Response<Incoming>), Outcome> {
+        let mut may_reuse = true;
+        loop {
+            let (mut conn, reused) = self.connect(line, until, may_reuse).await?;
+            let before = conn.0.written.get();
+            progress.may_run.set(true);
+            match conn.0.send(request).await {
+                Ok(answer) => return Ok((conn, answer)),
+                // The other side had closed it, and nothing was written: a new one is no second copy.
+                Err(Some(unsent)) if reused && conn.0.written.get() == before => {
+                    (request, may_reuse) = (unsent, false);
+                    progress.may_run.set(false);
+                }
+                Err(_) => {
+                    // A head of at least a byte goes before the body: the last byte never left.
+                    let cut = conn.0.written.get() - before <= length as u64;
+                    return Err(if cut { Outcome::ConnectFailed } else { Outcome::Reset });
+                }
+            }
+        }
+    }
+
+    async fn call(
+        self: &Rc<Self>,
+        line: Line,
+        parts: &[Part],
+        until: Instant,
+        progress: &Progress,
+    ) -> Result<Answered, Outcome> {
+        let left = until.saturating_duration_since(Instant::now()).as_millis().max(1);
+        let request = Request::builder()
+            .method(Method::POST)
+            .header("host", line.address.to_string())
+            .header("req-deadline-ms", left.to_string());
+        let (request, body) = if let [part] = parts {
+            let request = request.uri("/v1/messages").header("req-id", &part.id);
+            let request = match &part.key {
+                Some(key) => request.header("idempotency-key", key),
+                None => request,
+            };
+            (request, part.body.clone())
+        } else {
+            let parts: Vec<_> = parts
+                .iter()
+                .map(|p| BatchPart { id: &p.id, key: p.key.as_deref(), body: STANDARD.encode(&p.body) })
+                .collect();
+            let body = serde_json::to_vec(&parts).map_err(|_| Outcome::Moot { no_slot: false })?;
+            let request = request.uri("/v1/messages:batch").header("content-type", "application/json");
+            (request, Bytes::from(body))
+        };
+        let length = body.len();
+        // Ids and keys came as header values, so that they can go as such.
+        let request = request.body(Full::new(body)).map_err(|_| Outcome::Moot { no_slot: false })?;
+        let (mut conn, answer) = self.exchange(line, request, length, until, progress).await?;
+        let (head, body) = answer.into_parts();
+        let (report, wait) = (self.report(&head.headers), told_wait(&head.headers));
+        if parts.len() > 1 && head.status == StatusCode::OK {
+            let body = conn.0.body(body).await.map_err(|()| Outcome::Reset)?;
+            let told: Vec<BatchEnd> = serde_json::from_slice(&body).unwrap_or_default();
+            let states: HashMap<&str, &str> =
+                told.iter().map(|end| (end.id.as_str(), end.state.as_str())).collect();
+            let end = |p: &Part| match states.get(p.id.as_str()).copied() {
+                Some("ok") => (Outcome::Delivered, false),
+                Some("later") => (Outcome::Full(wait), false),
+                Some("gone") => (Outcome::Moot { no_slot: false }, true),
+                Some("exhausted") => (Outcome::Moot { no_slot: false }, false),
+                // What is not told, or can't be read, may have run.
+                _ => (Outcome::Error, false),
+            };
+            let ends = parts.iter().map(end).collect();
+            return Ok(Answered { ends, report, wait, rest: Some((conn, None)) });
+        }
+        let end = (outcome(head.status, &head.headers), head.status == StatusCode::GONE);
+        Ok(Answered { ends: vec![end; parts.len()], report, wait, rest: Some((conn, Some(body))) })
+    }
+
+    fn report_end(&self, line: Line, parts: &[Part], begun: Instant, outcome: Outcome) {
+        let ends = vec![(outcome, false); parts.len()];
+        self.report_ends(line, parts, begun, &Answered { ends, report: vec![], wait: None, rest: None });
+    }
+
+    fn report_ends(&self, line: Line, parts: &[Part], begun: Instant, answered: &Answered) {
+        let took = begun.elapsed().as_micros() as Micros;
+        let endpoint = line.endpoint;
+        let mut over = Vec::with_capacity(parts.len());
+        for (part, (outcome, gone)) in parts.iter().zip(&answered.ends) {
+            let (message, attempt) = (part.message, part.attempt);
+            self.out.borrow_mut().remove(&(message, attempt));
+            let (outcome, gone, report) = (*outcome, *gone, answered.report.clone());
+            over.push(AttemptOver { message, attempt, endpoint, outcome, gone, took, report });
+        }
+        if let Some(wait) = answered.wait {
+            let _ = self.inbound.send(Inbound::Event(Event::Wait { endpoint, wait }));
+        }
+        let _ = self.inbound.send(Inbound::CallOver(over));
+    }
+
+    /// Reads what is left of an answer, so that its connection can be used again.
+    async fn finish(self: &Rc<Self>, line: Line, mut conn: Busy, body: Option<Incoming>) {
+        if let Some(body) = body
+            && !matches!(timeout(REST_OF_ANSWER, conn.0.body(body)).await, Ok(Ok(_)))
+        {
+            return;
+        }
+        self.keep(line, conn).await;
+    }
+
+    async fn keep(self: &Rc<Self>, line: Line, conn: Busy) {
+        let Busy(mut conn, in_use) = conn;
+        if !conn.usable().await {
+            return;
+        }
+        drop(in_use);
+        self.idle.borrow_mut().entry(line).or_default().push(Idle { conn, since: Instant::now() });
+    }
+
+    fn report(&self, headers: &HeaderMap) -> Vec<f32> {
+        let text = headers.get("srv-load").and_then(|v| v.to_str().ok());
+        text.map_or(vec![], |text| self.fields(text))
+    }
+
+    fn fields(&self, text: &str) -> Vec<f32> {
+        let pairs: Vec<(&str, f32)> = text
+            .split(',')
+            .filter_map(|pair| pair.split_once('='))
+            .filter_map(|(name, value)| Some((name.trim(), value.trim().parse().ok()?)))
+            .filter(|(_, value): &(&str, f32)| value.is_finite())
+            .collect();
+        if pairs.is_empty() {
+            return vec![];
+        }
+        let find = |name: &String| pairs.iter().find(|p| p.0 == name).map_or(0.0, |p| p.1);
+        self.limits.report.iter().map(find).collect()
+    }
+}
+
+/// The wait that an answer tells, in seconds with decimals; strange ones are none.
+fn told_wait(headers: &HeaderMap) -> Option<Micros> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    // No destination means a wait of more than an hour.
+    (seconds > 0.0).then(|| (seconds.min(3600.0) * 1e6).ceil() as Micros)
+}
+
+fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    match status.as_u16() {
+        200 => Outcome::Delivered,
+        429 => Outcome::Full(told_wait(headers)),
+        503 if headers.get("x-line-busy").is_some_and(|v| v.as_bytes() == b"1") => {
+            Outcome::Moot { no_slot: true }
+        }
+        503 => Outcome::Full(told_wait(headers)),
+        // Not sent, not for this endpoint, or not to be read there: it never ran.
+        400 | 404 | 410 | 413 | 504 => Outcome::Moot { no_slot: false },
+        _ => Outcome::Error,
+    }
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,157 @@
+//! What a sender is told at its start: the environment and the configuration file.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use myrtleyard::interface::Settings;
+use serde::Deserialize;
+
+use super::platform::ListBody;
+
+/// All that the sender is told.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// The folder that lasts.
+    pub state: PathBuf,
+    /// For random numbers.
+    pub seed: u64,
+    /// File descriptors that may be held.
+    pub sockets: usize,
+    /// Bytes that the folder that lasts may hold.
+    pub disk: u64,
+    /// Where notes arrive, if there are any.
+    pub peer_listen: Option<SocketAddr>,
+    /// The senders' addresses by their numbers.
+    pub peers: Vec<SocketAddr>,
+    /// Reaches all senders.
+    pub peers_all: Option<SocketAddr>,
+    /// The list of endpoints as last known.
+    pub known: ListBody,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of classes, kinds and zones, in the settings' order.
+    pub names: Names,
+}
+
+/// Names in the settings, by position.
+#[derive(Debug, Default, Clone)]
+pub struct Names {
+    /// Classes of message.
+    pub classes: Vec<String>,
+    /// Kinds of destination.
+    pub kinds: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Fields of a load report.
+    pub report: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct RawLimits {
+    #[serde(default = "plenty")]
+    sockets: usize,
+    disk_mb: f64,
+}
+
+fn plenty() -> usize {
+    1024
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: RawLimits,
+    #[serde(default)]
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    #[serde(default)]
+    peers_all: Option<SocketAddr>,
+    #[serde(default)]
+    known: ListBody,
+    settings: serde_json::Value,
+}
+
+fn variable(name: &str) -> Result<Option<String>, String> {
+    match std::env::var(name) {
+        Ok(text) => Ok(Some(text)),
+        Err(std::env::VarError::NotPresent) => Ok(None),
+        Err(e) => Err(format!("{name}: {e}")),
+    }
+}
+
+fn address(name: &str, default: SocketAddr) -> Result<SocketAddr, String> {
+    match variable(name)? {
+        Some(text) => text.parse().map_err(|e| format!("{name}={text}: {e}")),
+        None => Ok(default),
+    }
+}
+
+/// Reads the environment and the configuration that it names.
+///
+/// # Errors
+/// Fails, in one line, when something needed is missing or cannot be read.
+pub fn read() -> Result<Config, String> {
+    let path = variable("NODE_CONFIG")?.ok_or("NODE_CONFIG is not set")?;
+    let state = variable("NODE_STATE")?.ok_or("NODE_STATE is not set")?;
+    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    let config = parse(&text).map_err(|e| format!("{path}: {e}"))?;
+    Ok(Config {
+        name: variable("NODE_NAME")?.unwrap_or(config.name),
+        listen: address("NODE_LISTEN", config.listen)?,
+        discovery: address("NODE_DISCOVERY", config.discovery)?,
+        state: state.into(),
+        ..config
+    })
+}
+
+fn parse(text: &[u8]) -> Result<Config, String> {
+    let raw: Raw = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let settings = serde_json::to_vec(&raw.settings).map_err(|e| e.to_string())?;
+    let settings = myrtleyard::wire::settings(&settings).map_err(|e| e.to_string())?;
+    let texts = |list: &serde_json::Value, field: Option<&str>| {
+        let entries = list.as_array().map(Vec::as_slice).unwrap_or_default();
+        let name = |e: &serde_json::Value| {
+            let name = field.map_or(Some(e), |f| e.get(f));
+            name.and_then(serde_json::Value::as_str).unwrap_or_default().to_owned()
+        };
+        entries.iter().map(name).collect::<Vec<_>>()
+    };
+    let s = &raw.settings;
+    let names = Names {
+        classes: texts(&s["classes"], Some("name")),
+        kinds: texts(&s["skus"], None),
+        zones: texts(&s["azs"], None),
+        report: texts(&s["load_report"]["fields"], None),
+    };
+    if settings.classes.is_empty() || names.classes.iter().any(String::is_empty) {
+        return Err("settings: each class needs a name, and there must be one".into());
+    }
+    if !raw.limits.disk_mb.is_finite() || raw.limits.disk_mb <= 0.0 {
+        return Err(format!("limits: disk_mb {} is no size", raw.limits.disk_mb));
+    }
+    Ok(Config {
+        name: raw.name,
+        listen: raw.listen,
+        discovery: raw.discovery,
+        state: PathBuf::new(),
+        seed: u64::from_str_radix(&raw.seed, 16).map_err(|e| format!("seed {:?}: {e}", raw.seed))?,
+        sockets: raw.limits.sockets,
+        disk: (raw.limits.disk_mb * 1e6) as u64,
+        peer_listen: raw.peer_listen,
+        peers: raw.peers,
+        peers_all: raw.peers_all,
+        known: raw.known,
+        settings,
+        names,
+    })
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,515 @@
+//! The loop round the module: events are collected into a turn, the module decides, the journal is
+//! written, and only then are clients answered and calls started.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use myrtleyard::interface::*;
+use myrtleyard::policy::Policy;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{Notify, oneshot, watch};
+
+use super::calls::{Calls, Limits, Line, Part};
+use super::config::{Config, Names};
+use super::intake::{Answer, HandedIn, Intake};
+use super::journal::{GivenUp, Journal, Live, Record, Taken};
+use super::peers::Peers;
+use super::platform::{self, ListBody, Notice};
+use super::{AttemptOver, Clock, Inbound};
+
+/// From SIGTERM until the process may be killed.
+const STOP_WITHIN: Micros = 3_700_000;
+/// From SIGTERM until clients have learnt to go elsewhere.
+const STILL_CALLED: Micros = 1_000_000;
+/// Advice to clients while the journal has no room.
+const NO_ROOM_AGAIN: Micros = 1_000_000;
+/// Descriptors that are neither clients' nor endpoints'.
+const OWN_SOCKETS: usize = 32;
+
+/// An endpoint as the list has it.
+struct Known {
+    name: String,
+    group: u16,
+    address: Option<SocketAddr>,
+    bundle: usize,
+}
+
+/// A message handed in within this turn.
+struct Fresh {
+    taken: Taken,
+    answer: oneshot::Sender<Answer>,
+}
+
+struct Driver {
+    clock: Clock,
+    names: Names,
+    kinds: Vec<Kind>,
+    policy: Policy,
+    journal: Journal,
+    calls: Calls,
+    peers: Option<Peers>,
+    notices: UnboundedSender<Notice>,
+    whole_list: Rc<Notify>,
+    inbound: UnboundedSender<Inbound>,
+    stopping: watch::Sender<bool>,
+    stop_at: Option<Micros>,
+    endpoints: HashMap<EndpointId, Known>,
+    /// The id of each name, and how many ids were given out.
+    ids: HashMap<String, EndpointId>,
+    given: u64,
+    timers: BTreeSet<(Micros, u64)>,
+    next_message: u32,
+    /// Numbers of the messages that are held, by their `Req-Id`.
+    held: HashMap<String, u32>,
+    /// Attempts begun for each message that is held.
+    attempts: HashMap<u32, u16>,
+    /// Handed in since the last turn, or in it.
+    fresh: BTreeMap<u32, Fresh>,
+    /// Records that could not be written yet; they promise nothing to anybody.
+    unwritten: Vec<Record>,
+    /// Notices whose records are not written yet.
+    unsaid: Vec<(u32, GivenUp, String)>,
+}
+
+/// Runs the sender until it is asked to end and has.
+///
+/// # Errors
+/// Fails when it can't start: an address or the journal is not to be had.
+pub async fn run(
+    config: Config,
+    inbound: UnboundedSender<Inbound>,
+    mut events: UnboundedReceiver<Inbound>,
+) -> Result<(), String> {
+    let clock = Clock::new();
+    let journal = Journal::open(&config.state, config.disk)
+        .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
+    let peers = Peers::open(&config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
+    let (stopping, stop) = watch::channel(false);
+    let (notices, owed) = unbounded_channel();
+    let whole_list = Rc::new(Notify::new());
+    let sides = config.sockets.saturating_sub(OWN_SOCKETS) / 2;
+    let limits = Limits {
+        connect: config.settings.connect_timeout.max(1),
+        idle: config.settings.idle_close,
+        connections: sides.max(1),
+        report: config.names.report.clone(),
+    };
+    let mut driver = Driver {
+        clock,
+        names: config.names.clone(),
+        kinds: config.settings.kinds.clone(),
+        next_message: journal.live().keys().next_back().map_or(0, |last| last.wrapping_add(1)),
+        journal,
+        calls: Calls::new(limits, inbound.clone()),
+        peers,
+        notices,
+        whole_list: whole_list.clone(),
+        inbound: inbound.clone(),
+        stopping,
+        stop_at: None,
+        endpoints: HashMap::new(),
+        ids: HashMap::new(),
+        given: 0,
+        timers: BTreeSet::new(),
+        held: HashMap::new(),
+        attempts: HashMap::new(),
+        fresh: BTreeMap::new(),
+        unwritten: Vec::new(),
+        unsaid: Vec::new(),
+        policy: Policy::new(config.settings.clone(), config.seed, clock.now()),
+    };
+    let index = config.known.index;
+    let first = driver.start(config.known);
+    driver.turn(first);
+
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let intake = Rc::new(Intake::new(clock, config.names.classes, inbound.clone(), stop));
+    tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1)));
+    tokio::task::spawn_local(platform::notices(config.discovery, owed, inbound.clone()));
+    tokio::task::spawn_local(platform::watch(config.discovery, index, whole_list, inbound));
+    eprintln!("{} is ready with {} messages in hand", config.name, driver.journal.live().len());
+
+    let period = Duration::from_micros(config.settings.period);
+    let mut turned = tokio::time::Instant::now();
+    loop {
+        let due = driver.timers.first().map_or(Micros::MAX / 2, |timer| timer.0);
+        let due = if driver.stop_at.is_some() { due.min(clock.now() + 50_000) } else { due };
+        let first = tokio::select! {
+            first = events.recv() => first,
+            () = tokio::time::sleep_until(clock.instant(due.min(clock.now() + 60_000_000))) => None,
+        };
+        // Turns are a period apart at least, as the module is told.
+        tokio::time::sleep_until(turned + period).await;
+        turned = tokio::time::Instant::now();
+        let mut said: Vec<Event> = Vec::new();
+        first.into_iter().for_each(|inbound| driver.fold(inbound, &mut said));
+        while let Ok(inbound) = events.try_recv() {
+            driver.fold(inbound, &mut said);
+        }
+        let now = clock.now();
+        while let Some(timer) = driver.timers.pop_first() {
+            if timer.0 > now {
+                driver.timers.insert(timer);
+                break;
+            }
+            said.push(Event::Reminder(timer.1));
+        }
+        if !said.is_empty() || !driver.unwritten.is_empty() {
+            driver.turn(said);
+        }
+        if driver.may_end(intake.open()) {
+            return Ok(());
+        }
+    }
+}
+
+impl Driver {
+    /// The list as last known, and what an earlier process left in the journal.
+    fn start(&mut self, known: ListBody) -> Vec<Event> {
+        let now = self.clock.now();
+        let mut said = vec![self.listed(ListBody { snapshot: true, ..known })];
+        let live: Vec<(u32, Live)> = self.journal.live().iter().map(|(n, l)| (*n, l.clone())).collect();
+        for (number, live) in live {
+            self.held.insert(live.taken.id.clone(), number);
+            let may_have_run: Vec<_> = live
+                .attempts
+                .iter()
+                .filter(|attempt| !attempt.never_ran)
+                .map(|attempt| (now.saturating_sub(attempt.at), self.id_of(&attempt.endpoint)))
+                .collect();
+            let class = self.names.classes.iter().position(|name| *name == live.taken.class);
+            let given_up = match (live.given_up, class) {
+                (None, Some(class)) => {
+                    self.attempts.insert(number, live.attempts.len() as u16);
+                    let message = message(number, class, &live.taken, now);
+                    let attempts = live.attempts.len() as u32;
+                    said.push(Event::Resumed { message, attempts, may_have_run });
+                    continue;
+                }
+                (Some(how), _) => how,
+                // Its class is not one of the settings' any more, so that the module can't judge it.
+                (None, None) if may_have_run.is_empty() => GivenUp::Deferred(0),
+                (None, None) => GivenUp::Undeliverable,
+            };
+            self.unwritten.push(Record::GivenUp(number, given_up));
+            self.unsaid.push((number, given_up, live.taken.id));
+        }
+        said
+    }
+
+    /// Turns what a task says into events for the module.
+    fn fold(&mut self, inbound: Inbound, said: &mut Vec<Event>) {
+        match inbound {
+            Inbound::HandedIn(message) => self.handed_in(message, said),
+            Inbound::Withdrawn(id) => {
+                if let Some(number) = self.held.get(&id).copied() {
+                    said.push(Event::Left(MessageId(number)));
+                    if self.fresh.remove(&number).is_none() {
+                        self.unwritten.push(Record::Over(number));
+                    }
+                    self.forget(number, &id);
+                }
+            }
+            Inbound::CallOver(ends) => ends.into_iter().for_each(|end| said.push(self.ended(end))),
+            Inbound::Event(event) => said.push(event),
+            Inbound::Listed(platform::Listed(list)) => said.push(self.listed(list)),
+            Inbound::NoticesKept(messages) => {
+                for MessageId(number) in messages {
+                    if let Some(id) = self.journal.live().get(&number).map(|l| l.taken.id.clone()) {
+                        self.unwritten.push(Record::Over(number));
+                        self.forget(number, &id);
+                    }
+                }
+            }
+            Inbound::Terminate => {
+                let at = self.clock.now() + STOP_WITHIN;
+                self.stop_at = Some(at);
+                let _ = self.stopping.send(true);
+                said.push(Event::Stopping(at));
+            }
+        }
+    }
+
+    fn handed_in(&mut self, message: HandedIn, said: &mut Vec<Event>) {
+        let HandedIn { taken, class, answer } = message;
+        if self.held.contains_key(&taken.id) {
+            // The client did not hear that it is taken on, and says it once more.
+            let _ = answer.send(Answer::Taken);
+            return;
+        }
+        let pending: u64 = self.fresh.values().map(|fresh| Journal::room_for(&fresh.taken)).sum();
+        if !self.journal.has_room(&taken, pending) {
+            let _ = answer.send(Answer::Refused(NO_ROOM_AGAIN));
+            return;
+        }
+        let number = self.next_message;
+        self.next_message = number.wrapping_add(1);
+        said.push(Event::Accepted(self::message(number, class, &taken, self.clock.now())));
+        self.held.insert(taken.id.clone(), number);
+        self.fresh.insert(number, Fresh { taken, answer });
+    }
+
+    fn ended(&mut self, end: AttemptOver) -> Event {
+        let number = end.message.0;
+        let live = self.journal.live().get(&number);
+        let owed = live.filter(|live| live.given_up.is_none()).map(|live| live.taken.id.clone());
+        // Over already, or given up: what comes now changes nothing.
+        let mut terminal = true;
+        if let Some(id) = owed.filter(|id| self.held.get(id) == Some(&number)) {
+            terminal = end.gone || end.outcome == Outcome::Delivered;
+            self.unwritten.push(if terminal {
+                Record::Over(number)
+            } else {
+                let never_ran = end.outcome.never_ran();
+                Record::Ended { message: number, attempt: end.attempt, never_ran }
+            });
+            if terminal {
+                self.forget(number, &id);
+            }
+        }
+        Event::Ended {
+            message: end.message,
+            attempt: end.attempt,
+            endpoint: end.endpoint,
+            outcome: end.outcome,
+            terminal,
+            took: end.took,
+            report: end.report,
+        }
+    }
+
+    fn forget(&mut self, number: u32, id: &str) {
+        self.attempts.remove(&number);
+        self.held.remove(id);
+    }
+
+    fn notify(&self, number: u32, how: GivenUp, id: String) {
+        let _ = self.notices.send(Notice { message: MessageId(number), id, how });
+    }
+
+    /// The id of an endpoint's name; a name that no list has named yet gets one too.
+    fn id_of(&mut self, name: &str) -> EndpointId {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        self.given += 1;
+        let mut bytes = [0; 6];
+        bytes.copy_from_slice(&self.given.to_be_bytes()[2..]);
+        self.ids.insert(name.to_owned(), EndpointId(bytes));
+        EndpointId(bytes)
+    }
+
+    fn listed(&mut self, list: ListBody) -> Event {
+        let mut entries = Vec::with_capacity(list.endpoints.len());
+        for listing in list.endpoints {
+            let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
+            let zone = position(&self.names.zones, &listing.zone).map_or(u16::MAX, |zone| zone as u16);
+            let kind = position(&self.names.kinds, &listing.kind).unwrap_or(usize::MAX);
+            let mut endpoint = self.id_of(&listing.name);
+            let before = self.endpoints.get(&endpoint).filter(|known| known.group != listing.group);
+            let mut entry = |endpoint, group, listing| {
+                let destination = DestinationId(group);
+                entries.push(Entry { endpoint, destination, zone, kind, weight: 0.0, listing });
+            };
+            if let Some(group) = before.map(|known| known.group) {
+                // Guards against a name that moves to another destination: it is another endpoint there.
+                entry(endpoint, group, Listing::Gone);
+                self.ids.remove(&listing.name);
+                endpoint = self.id_of(&listing.name);
+            }
+            let state = match listing.status.as_str() {
+                "active" => Listing::Ready,
+                "left" => Listing::Gone,
+                _ => Listing::Draining,
+            };
+            entry(endpoint, listing.group, state);
+            if let (Some(entry), true) = (entries.last_mut(), listing.weight.is_finite()) {
+                entry.weight = listing.weight.max(0.0);
+            }
+            let bundle = self.kinds.get(kind).map_or(1, |kind| kind.bundle);
+            let (address, group) = (listing.address.parse().ok(), listing.group);
+            self.endpoints.insert(endpoint, Known { name: listing.name, group, address, bundle });
+        }
+        if list.snapshot { Event::List(entries) } else { Event::Changes(entries) }
+    }
+
+    /// One turn: the module decides, the journal is written, then clients hear and calls begin.
+    fn turn(&mut self, said: Vec<Event>) {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        self.policy.handle(now, &said, &mut actions);
+        let mut records = std::mem::take(&mut self.unwritten);
+        let mut fresh = std::mem::take(&mut self.fresh);
+        // Answered in the turn that took them: the journal never hears of these.
+        let mut given_up = Vec::new();
+        let mut sends: Vec<(MessageId, u16, EndpointId, Micros)> = Vec::new();
+        for action in actions {
+            match action {
+                Action::Attempt { message, endpoint, timeout } => {
+                    if let Some(attempt) = self.attempts_of(message, &fresh) {
+                        sends.push((message, attempt, endpoint, timeout));
+                    }
+                }
+                Action::Refuse { message, retry_after } => {
+                    given_up.push((message.0, GivenUp::Deferred(retry_after)));
+                }
+                Action::Fail(message) => given_up.push((message.0, GivenUp::Undeliverable)),
+                Action::Cancel { message, attempt } => self.calls.cancel(message, attempt),
+                Action::Probe(endpoint) => match self.line(endpoint) {
+                    Some(line) => self.calls.probe(line),
+                    None => {
+                        let outcome = Outcome::ConnectFailed;
+                        let event = Event::Probed { endpoint, outcome, report: vec![] };
+                        let _ = self.inbound.send(Inbound::Event(event));
+                    }
+                },
+                Action::CloseIdle(endpoint) => self.calls.close_idle(endpoint),
+                // The watch goes on all the time.
+                Action::Watch => {}
+                Action::FetchList => self.whole_list.notify_one(),
+                Action::Tell { to, content } => {
+                    if let Some(peers) = &self.peers {
+                        peers.tell(to, &content);
+                    }
+                }
+                Action::Remind { at, token } => {
+                    self.timers.insert((at, token));
+                }
+                Action::Log(line) => eprintln!("{line}"),
+            }
+        }
+        for (number, how) in given_up {
+            if let Some(Fresh { taken, answer }) = fresh.remove(&number) {
+                self.forget(number, &taken.id);
+                let _ = answer.send(match how {
+                    GivenUp::Deferred(again) => Answer::Refused(again),
+                    GivenUp::Undeliverable => Answer::Failed,
+                });
+            } else if let Some(id) = self.journal.live().get(&number).map(|live| live.taken.id.clone()) {
+                records.push(Record::GivenUp(number, how));
+                self.unsaid.push((number, how, id));
+            }
+        }
+        let kept = records.len();
+        records.extend(fresh.iter().map(|(number, fresh)| Record::Taken(*number, fresh.taken.clone())));
+        records.extend(sends.iter().map(|(message, _, endpoint, _)| Record::Begun {
+            message: message.0,
+            endpoint: self.endpoints.get(endpoint).map(|known| known.name.clone()).unwrap_or_default(),
+            at: now,
+        }));
+        if let Err(e) = self.journal.append(&records) {
+            eprintln!("the journal can't be written: {e}");
+            records.truncate(kept);
+            self.withhold(records, fresh, &sends);
+        } else {
+            for fresh in fresh.into_values() {
+                let _ = fresh.answer.send(Answer::Taken);
+            }
+            for (number, how, id) in std::mem::take(&mut self.unsaid) {
+                self.notify(number, how, id);
+            }
+            self.begin(sends);
+        }
+    }
+
+    /// Guards the promise that what is taken on outlasts the process: with no journal nothing is taken on
+    /// and no call begins.
+    fn withhold(
+        &mut self,
+        records: Vec<Record>,
+        fresh: BTreeMap<u32, Fresh>,
+        sends: &[(MessageId, u16, EndpointId, Micros)],
+    ) {
+        self.unwritten = records;
+        for (message, attempt, endpoint, _) in sends {
+            let (message, attempt, endpoint) = (*message, *attempt, *endpoint);
+            let outcome = Outcome::Moot { no_slot: false };
+            let end =
+                AttemptOver { message, attempt, endpoint, outcome, gone: false, took: 0, report: vec![] };
+            let _ = self.inbound.send(Inbound::CallOver(vec![end]));
+        }
+        for (number, Fresh { taken, answer }) in fresh {
+            self.forget(number, &taken.id);
+            let _ = self.inbound.send(Inbound::Event(Event::Left(MessageId(number))));
+            let _ = answer.send(Answer::Refused(NO_ROOM_AGAIN));
+        }
+    }
+
+    /// The number of a message's next attempt, if it is held.
+    fn attempts_of(&mut self, message: MessageId, fresh: &BTreeMap<u32, Fresh>) -> Option<u16> {
+        let known = fresh.contains_key(&message.0) || self.journal.live().contains_key(&message.0);
+        let count = self.attempts.entry(message.0).or_default();
+        *count += 1;
+        known.then_some(*count - 1)
+    }
+
+    fn line(&self, endpoint: EndpointId) -> Option<Line> {
+        let address = self.endpoints.get(&endpoint)?.address?;
+        Some(Line { endpoint, address })
+    }
+
+    /// Starts the calls of a turn: what goes to one endpoint travels together as far as its kind allows.
+    fn begin(&mut self, sends: Vec<(MessageId, u16, EndpointId, Micros)>) {
+        let mut calls: Vec<(EndpointId, Vec<Part>, Micros)> = Vec::new();
+        let mut last: HashMap<EndpointId, usize> = HashMap::new();
+        for (message, attempt, endpoint, wait) in sends {
+            let Some(live) = self.journal.live().get(&message.0) else { continue };
+            let Taken { id, key, body, .. } = live.taken.clone();
+            let part = Part { message, attempt, id, key, body };
+            let bundle = self.endpoints.get(&endpoint).map_or(1, |known| known.bundle);
+            let call = last.get(&endpoint).copied().and_then(|at| calls.get_mut(at));
+            match call.filter(|call| call.1.len() < bundle) {
+                Some(call) => {
+                    call.1.push(part);
+                    call.2 = call.2.max(wait);
+                }
+                None => {
+                    last.insert(endpoint, calls.len());
+                    calls.push((endpoint, vec![part], wait));
+                }
+            }
+        }
+        for (endpoint, parts, wait) in calls {
+            let Some(line) = self.line(endpoint) else {
+                // An address that can't be read is one where no connection can be made.
+                let ends = parts.into_iter().map(|part| AttemptOver {
+                    message: part.message,
+                    attempt: part.attempt,
+                    endpoint,
+                    outcome: Outcome::ConnectFailed,
+                    gone: false,
+                    took: 0,
+                    report: vec![],
+                });
+                let _ = self.inbound.send(Inbound::CallOver(ends.collect()));
+                continue;
+            };
+            self.calls.start(line, parts, wait);
+        }
+    }
+
+    /// Whether a process that was asked to end has nothing left to do that the next one can't.
+    fn may_end(&self, clients: usize) -> bool {
+        let Some(at) = self.stop_at else { return false };
+        let now = self.clock.now();
+        let idle = self.journal.live().is_empty() && clients == 0;
+        let called = now < at - STOP_WITHIN + STILL_CALLED;
+        (idle && !called && self.unwritten.is_empty()) || (now >= at && self.calls.out() == 0)
+    }
+}
+
+fn message(number: u32, class: usize, taken: &Taken, now: Micros) -> Message {
+    Message {
+        id: MessageId(number),
+        class,
+        tenant: 0,
+        key: None,
+        time_left: taken.deadline.saturating_sub(now),
+        hint: None,
+        destination: DestinationId(taken.destination),
+    }
+}
--- /dev/null
+++ b/src/net/peers.rs
@@ -0,0 +1,65 @@
+//! Notes between senders: datagrams that may be lost.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use myrtleyard::interface::Event;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::Inbound;
+use super::config::Config;
+
+/// A longer note is not sent.
+const NOTE_LIMIT: usize = 256;
+
+/// The way to the other senders.
+pub struct Peers {
+    socket: Rc<UdpSocket>,
+    peers: Vec<SocketAddr>,
+    all: Option<SocketAddr>,
+}
+
+impl Peers {
+    /// Listens for notes, where the deployment has them.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be listened on.
+    pub async fn open(config: &Config, inbound: UnboundedSender<Inbound>) -> io::Result<Option<Self>> {
+        let Some(listen) = config.peer_listen else { return Ok(None) };
+        let socket = Rc::new(UdpSocket::bind(listen).await?);
+        let (receiving, peers) = (socket.clone(), config.peers.clone());
+        tokio::task::spawn_local(async move {
+            let mut note = [0; NOTE_LIMIT + 1];
+            loop {
+                // An error here is an earlier note's that did not arrive.
+                let Ok((size, from)) = receiving.recv_from(&mut note).await else {
+                    tokio::task::yield_now().await;
+                    continue;
+                };
+                let rank = peers.iter().position(|peer| *peer == from);
+                let (Some(rank), true) = (rank.and_then(|r| u16::try_from(r).ok()), size <= NOTE_LIMIT)
+                else {
+                    continue;
+                };
+                let event = Event::Note { from: rank, content: note[..size].to_vec() };
+                if inbound.send(Inbound::Event(event)).is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Some(Self { socket, peers: config.peers.clone(), all: config.peers_all }))
+    }
+
+    /// Sends a note to one sender, or to all; it may be lost.
+    pub fn tell(&self, to: Option<u16>, content: &[u8]) {
+        let address = match to {
+            Some(rank) => self.peers.get(usize::from(rank)).copied(),
+            None => self.all,
+        };
+        if let (Some(address), true) = (address, content.len() <= NOTE_LIMIT) {
+            let _ = self.socket.try_send_to(content, address);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/platform.rs
@@ -0,0 +1,216 @@
+//! The platform: the watch on the list of endpoints, and notices of messages that ended undelivered.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use myrtleyard::interface::{Event, MessageId};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::time::timeout;
+
+use super::calls::Conn;
+use super::journal::GivenUp;
+use super::{BODY_LIMIT, Inbound};
+
+/// How long a watch may be held open.
+const HOLD: Duration = Duration::from_secs(20);
+/// How much later its answer may come.
+const HOLD_SLACK: Duration = Duration::from_secs(3);
+/// Rest before a failed request is made again: a watch goes on if it comes back within 200 ms.
+const AGAIN: Duration = Duration::from_millis(50);
+/// How long a notice may take; it is sent again after that.
+const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The list of endpoints, whole or changes of it, as discovery writes it.
+#[derive(Debug, Default, Clone, Deserialize)]
+pub struct ListBody {
+    /// Its version.
+    #[serde(default)]
+    pub index: u64,
+    /// Whether it is the whole list.
+    #[serde(default)]
+    pub snapshot: bool,
+    /// Its entries.
+    #[serde(default)]
+    pub endpoints: Vec<Listing>,
+}
+
+/// One entry.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Listing {
+    /// The same at every sender.
+    pub name: String,
+    /// Where this sender dials it.
+    #[serde(default)]
+    pub address: String,
+    /// Its zone, by name.
+    #[serde(default)]
+    pub zone: String,
+    /// Its kind, by name.
+    #[serde(default, rename = "type")]
+    pub kind: String,
+    /// Its destination.
+    pub group: u16,
+    /// `active`, `leaving` or `left`.
+    pub status: String,
+    /// Its weight.
+    #[serde(default)]
+    pub weight: f64,
+}
+
+/// News of the list.
+#[derive(Debug)]
+pub struct Listed(pub ListBody);
+
+/// One request to the platform, on a connection that is kept if all went well.
+async fn ask(
+    kept: &mut Option<Conn>,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), ()> {
+    let mut conn = match kept.take() {
+        Some(conn) => conn,
+        None => Conn::open(address).await.map_err(|_| ())?,
+    };
+    let (head, body) = conn.send(request).await.map_err(|_| ())?.into_parts();
+    let body = conn.body(body).await?;
+    if conn.usable().await {
+        *kept = Some(conn);
+    }
+    Ok((head.status, body))
+}
+
+/// Watches the list from the version that is known, for as long as the process runs.
+pub async fn watch(address: SocketAddr, known: u64, whole: Rc<Notify>, inbound: UnboundedSender<Inbound>) {
+    let mut from = Some(known);
+    let mut conn = None;
+    loop {
+        let path = match from {
+            Some(from) => format!("/v1/endpoints?from={from}&hold_ms={}", HOLD.as_millis()),
+            None => "/v1/endpoints".to_owned(),
+        };
+        let Ok(request) = Request::get(path).header("host", address.to_string()).body(Full::default()) else {
+            return;
+        };
+        let answer = tokio::select! {
+            answer = timeout(HOLD + HOLD_SLACK, ask(&mut conn, address, request)) => answer,
+            () = whole.notified() => {
+                from = None;
+                continue;
+            }
+        };
+        let list = match answer {
+            Ok(Ok((StatusCode::OK, body))) => serde_json::from_slice::<ListBody>(&body).ok(),
+            _ => None,
+        };
+        let said = match list {
+            Some(list) => {
+                from = Some(list.index);
+                Inbound::Listed(Listed(list))
+            }
+            None => {
+                conn = None;
+                tokio::time::sleep(AGAIN).await;
+                Inbound::Event(Event::ListFailed)
+            }
+        };
+        if inbound.send(said).is_err() {
+            return;
+        }
+    }
+}
+
+/// A message's end that the platform is owed.
+#[derive(Debug)]
+pub struct Notice {
+    /// The message.
+    pub message: MessageId,
+    /// Its `Req-Id`.
+    pub id: String,
+    /// How it ended.
+    pub how: GivenUp,
+}
+
+#[derive(Serialize)]
+struct NoticeLine<'a> {
+    id: &'a str,
+    status: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    again_ms: Option<u64>,
+}
+
+fn line(notice: &Notice) -> Vec<u8> {
+    let (status, again) = match notice.how {
+        GivenUp::Deferred(again) => ("deferred", Some(again.div_ceil(1000)).filter(|ms| *ms > 0)),
+        GivenUp::Undeliverable => ("undeliverable", None),
+    };
+    let mut line =
+        serde_json::to_vec(&NoticeLine { id: &notice.id, status, again_ms: again }).unwrap_or_default();
+    line.push(b'\n');
+    line
+}
+
+/// Sends notices, each until the platform has it.
+pub async fn notices(
+    address: SocketAddr,
+    mut notices: UnboundedReceiver<Notice>,
+    inbound: UnboundedSender<Inbound>,
+) {
+    let mut owed: BTreeMap<MessageId, Vec<u8>> = BTreeMap::new();
+    let mut conn: Option<Conn> = None;
+    let mut most = usize::MAX;
+    loop {
+        if owed.is_empty() {
+            let Some(notice) = notices.recv().await else { return };
+            owed.insert(notice.message, line(&notice));
+        }
+        while let Ok(notice) = notices.try_recv() {
+            owed.insert(notice.message, line(&notice));
+        }
+        let (mut body, mut told) = (Vec::new(), Vec::new());
+        for (message, line) in owed.iter().take(most) {
+            if !body.is_empty() && body.len() + line.len() > BODY_LIMIT {
+                break;
+            }
+            body.extend(line);
+            told.push(*message);
+        }
+        let request = Request::post("/reports")
+            .header("host", address.to_string())
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)));
+        let Ok(request) = request else { return };
+        // The platform closes idle connections when it likes: a kept one that is closed is no failure.
+        if let Some(mut kept) = conn.take()
+            && kept.usable().await
+        {
+            conn = Some(kept);
+        }
+        match timeout(NOTICE_TIMEOUT, ask(&mut conn, address, request)).await {
+            Ok(Ok((StatusCode::NO_CONTENT, _))) => {
+                owed.retain(|message, _| !told.contains(message));
+                most = usize::MAX;
+                if inbound.send(Inbound::NoticesKept(told)).is_err() {
+                    return;
+                }
+            }
+            // One line that can't be read must not keep the others back.
+            Ok(Ok((StatusCode::BAD_REQUEST, _))) if told.len() > 1 => most = 1,
+            Ok(Ok((StatusCode::BAD_REQUEST, _))) => {
+                eprintln!("the platform does not read a notice; dropped");
+                owed.retain(|message, _| !told.contains(message));
+                let _ = inbound.send(Inbound::NoticesKept(told));
+            }
+            _ => {
+                conn = None;
+                tokio::time::sleep(AGAIN).await;
+            }
+        }
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -385,6 +385,8 @@
     reminder: Option<Micros>,
     /// Connections that are used no more often than this are closed after use.
     keep: Micros,
+    /// When this process ends, once that is known.
+    stop_at: Option<Micros>,
     /// Messages a second that each tenant handed in here of late, and when that was last counted.
     tenants: Vec<(f64, Micros)>,
 }
@@ -408,6 +410,7 @@
             next_call: 0,
             lines: BTreeMap::new(),
             reminder: None,
+            stop_at: None,
         }
     }
 
@@ -416,7 +419,16 @@
         self.now = now;
         for event in events {
             match event {
-                Event::Accepted(message) => self.accept(message),
+                Event::Accepted(message) => self.accept(message, actions),
+                Event::Resumed { message, attempts, may_have_run } => {
+                    self.resume(message, *attempts, may_have_run);
+                }
+                Event::Stopping(at) => self.stop_at = Some(*at),
+                Event::Wait { endpoint, wait } => {
+                    if let Some(route) = self.route_of(*endpoint).and_then(|id| self.routes.get_mut(&id)) {
+                        route.wait_until = route.wait_until.max(now + wait);
+                    }
+                }
                 Event::Ended { message, attempt, endpoint, outcome, terminal, report, .. } => {
                     self.note_report(*endpoint, report);
                     self.ended(*message, *attempt, *outcome, *terminal);
@@ -464,7 +476,24 @@
         self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0)
     }
 
-    fn accept(&mut self, message: &Message) {
+    fn accept(&mut self, message: &Message, actions: &mut Vec<Action>) {
+        if self.held.len() >= self.settings.max_open {
+            let retry_after = (self.shortest_aim() / 4).min(self.settings.max_retry_after);
+            actions.push(Action::Refuse { message: message.id, retry_after });
+        } else {
+            self.hold(message);
+        }
+    }
+
+    /// A message that outlived the process that took it: what may have run then still binds.
+    fn resume(&mut self, message: &Message, attempts: u32, may_have_run: &[(Micros, EndpointId)]) {
+        self.hold(message);
+        let Some(held) = self.held.get_mut(&message.id) else { return };
+        held.attempts = attempts;
+        held.may_have_run = may_have_run.iter().map(|a| (0, self.now.saturating_sub(a.0), a.1)).collect();
+    }
+
+    fn hold(&mut self, message: &Message) {
         let Some(class) = self.settings.classes.get(message.class) else { return };
         let deadline = self.now + message.time_left;
         if let Some(rate) = self.tenants.get_mut(message.tenant) {
@@ -529,9 +558,11 @@
         let now = self.now;
         if let Some(call) = self.calls.get_mut(&flight.0) {
             // The messages of a call share one fate, which counts once.
-            let first = !std::mem::replace(&mut call.judged, true);
+            // What was not sent tells nothing of it, unless that is all there is to tell.
             call.messages -= 1;
             let done = call.messages == 0;
+            let first = !call.judged && (done || !matches!(outcome, Outcome::Moot { .. }));
+            call.judged |= first;
             if let Some(route) = self.routes.get_mut(&call.route) {
                 route.out -= usize::from(done);
                 // Each message of a call may be told a wait of its own.
@@ -793,6 +824,11 @@
         }
         let route_id = (endpoint.destination, endpoint.kind.routes_apart.then_some(endpoint_id));
         let Some(route) = self.routes.get_mut(&route_id) else { return false };
+        // Nothing may be out at the end of the process that must not be repeated after it.
+        let until = self.stop_at.filter(|_| class.effect == Effect::Once).unwrap_or(Micros::MAX);
+        if now.saturating_add(route.patience(class.aim)) > until {
+            return false;
+        }
         let joined = begun.get(&endpoint_id).copied().filter(|b| b.1 < endpoint.kind.bundle);
         route.refill(now);
         if joined.is_none() && route.credit < 1.0 {
@@ -849,7 +885,7 @@
                 line.out.insert((id, attempt));
             }
             self.flights.insert((id, attempt), (call, key));
-            let timeout = class.aim.min(last_call - now).max(1);
+            let timeout = class.aim.min(last_call - now).min(until - now).max(1);
             actions.push(Action::Attempt { message: id, endpoint: endpoint_id, timeout });
         }
         true
