Test the real program over loopback sockets, and the module's new events alone

Kill and restart, notices until 204, outcomes, batches, time-outs, SIGTERM, bad input and the room on the disk are each shown with the real program.

Beyond max_open the module's shedding already refuses the newcomer, so the extra guard is taken out.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -127,17 +127,20 @@
 
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     let intake = Rc::new(Intake::new(clock, config.names.classes, inbound.clone(), stop));
     tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1)));
     tokio::task::spawn_local(platform::notices(config.discovery, owed, inbound.clone()));
     tokio::task::spawn_local(platform::watch(config.discovery, index, whole_list, inbound));
-    eprintln!("{} is ready with {} messages in hand", config.name, driver.journal.live().len());
+    eprintln!("{} is ready on {address} with {} messages in hand", config.name, driver.journal.live().len());
 
     let period = Duration::from_micros(config.settings.period);
     let mut turned = tokio::time::Instant::now();
     loop {
         let due = driver.timers.first().map_or(Micros::MAX / 2, |timer| timer.0);
-        let due = if driver.stop_at.is_some() { due.min(clock.now() + 50_000) } else { due };
+        // What is looked at now and then: an end that is near, a journal that could not be written.
+        let watchful = driver.stop_at.is_some() || !driver.unwritten.is_empty();
+        let due = if watchful { due.min(clock.now() + 50_000) } else { due };
         let first = tokio::select! {
             first = events.recv() => first,
             () = tokio::time::sleep_until(clock.instant(due.min(clock.now() + 60_000_000))) => None,
@@ -184,10 +187,10 @@
             let class = self.names.classes.iter().position(|name| *name == live.taken.class);
             let given_up = match (live.given_up, class) {
                 (None, Some(class)) => {
-                    self.attempts.insert(number, live.attempts.len() as u16);
+                    let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
+                    self.attempts.insert(number, attempts);
                     let message = message(number, class, &live.taken, now);
-                    let attempts = live.attempts.len() as u32;
-                    said.push(Event::Resumed { message, attempts, may_have_run });
+                    said.push(Event::Resumed { message, attempts: attempts.into(), may_have_run });
                     continue;
                 }
                 (Some(how), _) => how,
@@ -396,8 +399,9 @@
         }
         let kept = records.len();
         records.extend(fresh.iter().map(|(number, fresh)| Record::Taken(*number, fresh.taken.clone())));
-        records.extend(sends.iter().map(|(message, _, endpoint, _)| Record::Begun {
+        records.extend(sends.iter().map(|(message, attempt, endpoint, _)| Record::Begun {
             message: message.0,
+            attempt: *attempt,
             endpoint: self.endpoints.get(endpoint).map(|known| known.name.clone()).unwrap_or_default(),
             at: now,
         }));
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -19,6 +19,8 @@
     Begun {
         /// The message.
         message: u32,
+        /// The attempt's number, from 0.
+        attempt: u16,
         /// The endpoint's name.
         endpoint: String,
         /// When.
@@ -68,6 +70,8 @@
 /// An attempt as far as it is known.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Attempt {
+    /// Its number: one that could not be written down, and so never began, is missing.
+    pub number: u16,
     /// The endpoint's name.
     pub endpoint: String,
     /// When it began.
@@ -208,14 +212,15 @@
                 self.reserved += need(&taken);
                 self.live.insert(message, Live { taken, attempts: Vec::new(), given_up: None });
             }
-            Record::Begun { message, endpoint, at } => {
+            Record::Begun { message, attempt, endpoint, at } => {
                 if let Some(live) = self.live.get_mut(&message) {
-                    live.attempts.push(Attempt { endpoint, at, never_ran: false });
+                    live.attempts.push(Attempt { number: attempt, endpoint, at, never_ran: false });
                 }
             }
             Record::Ended { message, attempt, never_ran } => {
                 let live = self.live.get_mut(&message);
-                if let Some(attempt) = live.and_then(|l| l.attempts.get_mut(usize::from(attempt))) {
+                let mut attempts = live.into_iter().flat_map(|live| &mut live.attempts);
+                if let Some(attempt) = attempts.find(|a| a.number == attempt) {
                     attempt.never_ran = never_ran;
                 }
             }
@@ -237,11 +242,10 @@
         let mut bytes = Vec::new();
         for (message, live) in &self.live {
             frame(&Record::Taken(*message, live.taken.clone()), &mut bytes)?;
-            for (number, attempt) in live.attempts.iter().enumerate() {
-                let (message, endpoint) = (*message, attempt.endpoint.clone());
-                frame(&Record::Begun { message, endpoint, at: attempt.at }, &mut bytes)?;
-                if attempt.never_ran {
-                    let attempt = number as u16;
+            for Attempt { number, endpoint, at, never_ran } in live.attempts.iter().cloned() {
+                let (message, attempt) = (*message, number);
+                frame(&Record::Begun { message, attempt, endpoint, at }, &mut bytes)?;
+                if never_ran {
                     frame(&Record::Ended { message, attempt, never_ran: true }, &mut bytes)?;
                 }
             }
@@ -260,3 +264,93 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn taken(size: usize) -> Taken {
+        Taken {
+            id: "id".into(),
+            key: Some("key".into()),
+            class: "note".into(),
+            destination: 7,
+            deadline: 1_000,
+            body: vec![b'x'; size].into(),
+        }
+    }
+
+    fn begun(message: u32, attempt: u16) -> Record {
+        Record::Begun { message, attempt, endpoint: "e1".into(), at: 5 }
+    }
+
+    #[test]
+    fn what_was_appended_is_read_back() -> io::Result<()> {
+        let folder = tempfile::tempdir()?;
+        let mut journal = Journal::open(folder.path(), 1_000_000)?;
+        journal.append(&[Record::Taken(1, taken(3)), begun(1, 0), Record::Taken(2, taken(0))])?;
+        journal.append(&[Record::Ended { message: 1, attempt: 0, never_ran: true }, begun(1, 2)])?;
+        journal.append(&[Record::Over(2), Record::Taken(3, taken(1))])?;
+        journal.append(&[Record::GivenUp(3, GivenUp::Deferred(9))])?;
+        let again = Journal::open(folder.path(), 1_000_000)?;
+        assert_eq!(again.live(), journal.live());
+        let attempts: Vec<_> = again.live()[&1].attempts.iter().map(|a| (a.number, a.never_ran)).collect();
+        assert_eq!(attempts, [(0, true), (2, false)]);
+        assert_eq!(again.live()[&3].given_up, Some(GivenUp::Deferred(9)));
+        assert_eq!(again.live().keys().copied().collect::<Vec<_>>(), [1, 3]);
+        Ok(())
+    }
+
+    /// Guards against a process that was killed within a write: what came before holds, and what is
+    /// appended later can be read.
+    #[test]
+    fn a_torn_tail_is_cut_off_wherever_it_was_torn() -> io::Result<()> {
+        let folder = tempfile::tempdir()?;
+        let path = folder.path().join("journal");
+        Journal::open(folder.path(), 1_000_000)?.append(&[Record::Taken(1, taken(3))])?;
+        let whole = fs::read(&path)?;
+        Journal::open(folder.path(), 1_000_000)?.append(&[Record::Taken(2, taken(3))])?;
+        let both = fs::read(&path)?;
+        for torn in whole.len()..both.len() {
+            fs::write(&path, &both[..torn])?;
+            let mut journal = Journal::open(folder.path(), 1_000_000)?;
+            assert_eq!(journal.live().len(), 1, "{torn}");
+            journal.append(&[Record::Taken(3, taken(3))])?;
+            assert_eq!(Journal::open(folder.path(), 1_000_000)?.live().len(), 2, "{torn}");
+        }
+        let mut bad = both.clone();
+        bad[whole.len() + FRAME] ^= 1;
+        fs::write(&path, &bad)?;
+        assert_eq!(Journal::open(folder.path(), 1_000_000)?.live().len(), 1, "a changed byte");
+        Ok(())
+    }
+
+    /// Guards the room on the disk: old and new file together stay within it, however long it goes on.
+    #[test]
+    fn the_files_stay_within_their_limit() -> io::Result<()> {
+        let folder = tempfile::tempdir()?;
+        let limit = 50_000;
+        let mut journal = Journal::open(folder.path(), limit)?;
+        let mut live = Vec::new();
+        let mut longest = 0;
+        for n in 0..2_000 {
+            let message = taken(n as usize % 900);
+            if !journal.has_room(&message, 0) {
+                journal.append(&[Record::Over(live.remove(0))])?;
+                continue;
+            }
+            let before = journal.length;
+            journal.append(&[Record::Taken(n, message), begun(n, 0)])?;
+            if journal.length < before {
+                assert!(before + journal.length <= limit, "{before} and {}", journal.length);
+            }
+            longest = longest.max(before);
+            live.push(n);
+        }
+        assert!(live.len() > 3 && longest > limit / 2, "{} live, {longest} long", live.len());
+        let again = Journal::open(folder.path(), limit)?;
+        assert_eq!(again.live(), journal.live());
+        assert_eq!(again.live().keys().copied().collect::<Vec<_>>(), live);
+        Ok(())
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -419,7 +419,7 @@
         self.now = now;
         for event in events {
             match event {
-                Event::Accepted(message) => self.accept(message, actions),
+                Event::Accepted(message) => self.hold(message),
                 Event::Resumed { message, attempts, may_have_run } => {
                     self.resume(message, *attempts, may_have_run);
                 }
@@ -476,15 +476,6 @@
         self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0)
     }
 
-    fn accept(&mut self, message: &Message, actions: &mut Vec<Action>) {
-        if self.held.len() >= self.settings.max_open {
-            let retry_after = (self.shortest_aim() / 4).min(self.settings.max_retry_after);
-            actions.push(Action::Refuse { message: message.id, retry_after });
-        } else {
-            self.hold(message);
-        }
-    }
-
     /// A message that outlived the process that took it: what may have run then still binds.
     fn resume(&mut self, message: &Message, attempts: u32, may_have_run: &[(Micros, EndpointId)]) {
         self.hold(message);
--- /dev/null
+++ b/tests/node/main.rs
@@ -0,0 +1,270 @@
+//! The real program over loopback sockets: each promise, and each failure found, in small.
+
+mod world;
+
+use std::collections::BTreeSet;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::json;
+use world::*;
+
+/// The messages of a batch, by id.
+fn ids(asked: &Asked) -> Vec<String> {
+    let parts = asked.http.json();
+    parts.as_array().unwrap().iter().map(|p| p["id"].as_str().unwrap().to_owned()).collect()
+}
+
+#[test]
+fn a_message_goes_on_unchanged_and_connections_are_reused() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    let ready = node.ask(b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n");
+    assert_eq!(ready.status(), 200);
+    let mut connections = BTreeSet::new();
+    for id in ["a", "b"] {
+        assert_eq!(node.hand_in(id, "note", 7, 20_000).status(), 202);
+        let call = endpoint.next();
+        assert_eq!(call.http.first, "POST /v1/messages HTTP/1.1");
+        assert_eq!(call.http.headers["req-id"], id);
+        assert_eq!(call.http.headers["idempotency-key"], format!("key-{id}"));
+        assert_eq!(call.http.body, format!("body\0of {id}").into_bytes());
+        let wait: u64 = call.http.headers["req-deadline-ms"].parse().unwrap();
+        assert!((1..=4000).contains(&wait), "{wait}");
+        connections.insert(call.connection);
+        call.reply(status(200));
+    }
+    assert!(connections.len() <= 2);
+}
+
+/// Guards against a restart that forgets, repeats an effect, or waits for somebody to hand in again.
+#[test]
+fn what_was_taken_on_outlasts_a_kill() {
+    let (platform, seven, eight) = (Platform::new(), Served::new(), Served::new());
+    let known = [listing("e1", 7, "plain", seven.address), listing("e2", 8, "plain", eight.address)];
+    let node = Node::start(&platform, &known, |_| {});
+    assert_eq!(node.hand_in("unsafe", "order", 7, 20_000).status(), 202);
+    let unsafe_call = seven.next();
+    assert_eq!(node.hand_in("keyed", "note", 8, 20_000).status(), 202);
+    let keyed_call = eight.next();
+    assert_eq!(node.hand_in("held", "order", 9, 20_000).status(), 202, "no endpoint is listed for it yet");
+    let node = node.kill_and_restart();
+    assert_eq!(platform.notice(204), [json!({"id": "unsafe", "status": "undeliverable"})]);
+    let again = eight.next();
+    assert_eq!(again.http.headers["req-id"], "keyed");
+    assert_eq!(again.http.headers["idempotency-key"], "key-keyed");
+    assert_eq!(again.http.body, keyed_call.http.body);
+    again.reply(status(200));
+    let nine = Served::new();
+    platform.tell(&[listing("e3", 9, "plain", nine.address)]);
+    let held = nine.next();
+    assert_eq!(held.http.headers["req-id"], "held");
+    assert_eq!(held.http.body, b"body\0of held");
+    held.reply(status(200));
+    drop(unsafe_call);
+    drop(node);
+    assert!(!seven.unseen(), "the unsafe message is not sent again");
+}
+
+/// Guards against a resend outside the time for which the destination remembers the key.
+#[test]
+fn a_keyed_message_whose_window_is_over_is_not_resent_after_a_kill() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    // The window is shorter than the margin that the module keeps for the way there.
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |config| {
+        config["settings"]["classes"][0]["dedup_window_us"] = json!(1);
+    });
+    assert_eq!(node.hand_in("a", "note", 7, 20_000).status(), 202);
+    let call = endpoint.next();
+    let node = node.kill_and_restart();
+    assert_eq!(platform.notice(204), [json!({"id": "a", "status": "undeliverable"})]);
+    drop((call, node));
+    assert!(!endpoint.unseen());
+}
+
+/// Guards against a notice that is lost with the platform's answer, or with the process.
+#[test]
+fn a_notice_is_sent_until_the_platform_has_it() {
+    let platform = Platform::new();
+    let node = Node::start(&platform, &[], |_| {});
+    assert_eq!(node.hand_in("a", "order", 7, 100).status(), 202);
+    let expected = [json!({"id": "a", "status": "deferred"})];
+    assert_eq!(platform.notice(500), expected);
+    assert_eq!(platform.notice(503), expected);
+    let node = node.kill_and_restart();
+    assert_eq!(platform.notice(204), expected);
+    drop(node);
+}
+
+/// Guards against telling a call that may have run from one that can't have.
+#[test]
+fn an_answer_that_never_came_may_have_run() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    let replies = [Reply::Close, Reply::Bytes(b"\x00\xff what?\r\n\r\n"), status(500), status(299)];
+    for (n, reply) in replies.into_iter().enumerate() {
+        let id = format!("m{n}");
+        assert_eq!(node.hand_in(&id, "order", 7, 20_000).status(), 202);
+        let call = endpoint.next();
+        assert_eq!(call.http.headers["req-id"], id);
+        call.reply(reply);
+        assert_eq!(platform.notice(204), [json!({"id": id, "status": "undeliverable"})]);
+    }
+}
+
+/// An unsafe message is sent again after each answer that proves that it never ran.
+#[test]
+fn a_call_that_was_turned_away_is_made_again() {
+    for reply in
+        [status(503), status(504), Reply::Answer(429, vec![("retry-after", "0.05".into())], "".into())]
+    {
+        let (platform, endpoint) = (Platform::new(), Served::new());
+        let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+        assert_eq!(node.hand_in("a", "order", 7, 20_000).status(), 202);
+        endpoint.next().reply(reply);
+        let again = endpoint.next();
+        assert_eq!(again.http.headers["req-id"], "a");
+        again.reply(status(200));
+        // 410: over, and nothing more is owed.
+        assert_eq!(node.hand_in("b", "order", 7, 20_000).status(), 202);
+        endpoint.next().reply(status(410));
+        assert_eq!(node.hand_in("c", "order", 7, 20_000).status(), 202);
+        assert_eq!(endpoint.next().http.headers["req-id"], "c");
+    }
+}
+
+/// Guards against a second copy while the first may still be read: the connection is closed at the time-out.
+#[test]
+fn a_time_out_closes_the_connection() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    assert_eq!(node.hand_in("a", "order", 7, 300).status(), 202);
+    let call = endpoint.next();
+    call.closed.recv_timeout(PATIENCE).expect("the connection ends");
+    assert_eq!(platform.notice(204), [json!({"id": "a", "status": "undeliverable"})]);
+}
+
+/// What waits for one endpoint goes as one call, whose messages may end apart.
+#[test]
+fn a_turns_messages_to_one_endpoint_travel_together() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[], |_| {});
+    for id in ["a", "b", "c", "d", "e"] {
+        let class = if id == "c" { "order" } else { "note" };
+        assert_eq!(node.hand_in(id, class, 7, 20_000).status(), 202);
+    }
+    platform.tell(&[listing("e1", 7, "bulk", endpoint.address)]);
+    let batch = endpoint.next();
+    assert_eq!(batch.http.first, "POST /v1/messages:batch HTTP/1.1");
+    assert_eq!(ids(&batch), ["a", "b", "c", "d", "e"]);
+    let parts = batch.http.json();
+    assert_eq!(parts[0]["key"], "key-a");
+    assert_eq!(parts[2].get("key"), None);
+    assert_eq!(STANDARD.decode(parts[2]["body"].as_str().unwrap()).unwrap(), b"body\0of c");
+    let ends = [("a", "ok"), ("b", "later"), ("c", "error"), ("d", "gone")];
+    let ends: Vec<_> = ends.iter().map(|(id, state)| json!({"id": id, "state": state})).collect();
+    batch.reply(Reply::Answer(200, vec![], json!(ends).to_string()));
+    assert_eq!(platform.notice(204), [json!({"id": "c", "status": "undeliverable"})]);
+    // Turned away, and not told of: both go again, together or one by one.
+    let mut again = BTreeSet::new();
+    while again.len() < 2 {
+        let call = endpoint.next();
+        let single = call.http.headers.get("req-id").cloned();
+        let ids = single.map_or_else(|| ids(&call), |id| vec![id]);
+        let ends: Vec<_> = ids.iter().map(|id| json!({"id": id, "state": "ok"})).collect();
+        call.reply(Reply::Answer(200, vec![], json!(ends).to_string()));
+        again.extend(ids);
+    }
+    assert_eq!(again, BTreeSet::from(["b".to_owned(), "e".to_owned()]));
+}
+
+/// A process that is asked to end answers, delivers what it can, leaves nothing behind and goes.
+#[test]
+fn a_terminated_process_finishes_what_it_has() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let mut node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    let mut idle = Client::new(&node);
+    assert_eq!(idle.ask(&handing_in("a", "order", 7, 20_000)).status(), 202);
+    let call = endpoint.next();
+    node.terminate();
+    assert!(idle.ended(), "idle client connections are closed");
+    let mut late = Client::new(&node);
+    assert_eq!(late.ask(b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n").status(), 503);
+    assert!(late.ended());
+    let mut late = Client::new(&node);
+    assert_eq!(late.ask(&handing_in("b", "note", 7, 20_000)).status(), 202);
+    assert!(late.ended());
+    let second = endpoint.next();
+    assert_eq!(second.http.headers["req-id"], "b");
+    second.reply(status(200));
+    call.reply(status(200));
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+#[test]
+fn strange_requests_are_told_off_and_do_no_harm() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    let good = String::from_utf8(handing_in("a", "order", 7, 1000)).unwrap();
+    for (from, to) in [
+        ("Req-Id: a\r\n", ""),
+        ("Req-Kind: order", "Req-Kind: none"),
+        ("POST /order", "POST /note"),
+        ("dest=7", "dest=x"),
+        ("dest=7", "dest=70000"),
+        ("Req-Deadline-Ms: 1000", "Req-Deadline-Ms: soon"),
+        ("Content-Length", "Idempotency-Key: \u{e6}\r\nContent-Length"),
+    ] {
+        assert!(good.contains(from));
+        assert_eq!(node.ask(good.replace(from, to).as_bytes()).status(), 400, "{to}");
+    }
+    let long = good.replace("Content-Length: 9", &format!("Content-Length: {}", (64 << 10) + 1));
+    assert_eq!(node.ask(&[long.as_bytes(), &vec![b'x'; 64 << 10]].concat()).status(), 400);
+    assert_eq!(node.ask(b"\x01\x02\x03\r\n\r\n").status(), 400);
+    assert_eq!(node.hand_in("fine", "order", 7, 20_000).status(), 202);
+    assert_eq!(endpoint.next().http.headers["req-id"], "fine");
+}
+
+#[test]
+fn a_bad_configuration_ends_in_one_line() {
+    let folder = tempfile::tempdir().unwrap();
+    for text in [None, Some("{"), Some("{\"name\": 3}"), Some("[]")] {
+        if let Some(text) = text {
+            std::fs::write(folder.path().join("config.json"), text).unwrap();
+        }
+        let output = command(folder.path()).output().unwrap();
+        assert!(!output.status.success());
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(said.lines().count(), 1, "{said}");
+        assert!(said.starts_with("myrtleyard: "), "{said}");
+    }
+}
+
+/// Guards the room on the disk: what can't be kept is refused, and room comes back as messages end.
+#[test]
+fn messages_beyond_the_room_on_the_disk_are_refused() {
+    let platform = Platform::new();
+    let node = Node::start(&platform, &[], |config| config["limits"]["disk_mb"] = json!(0.02));
+    let mut taken = 0;
+    let refused = loop {
+        let answer = node.hand_in(&format!("m{taken}"), "order", 7, 20_000);
+        if answer.status() != 202 {
+            break answer;
+        }
+        taken += 1;
+        assert!(taken < 1000);
+    };
+    assert!(taken > 0);
+    assert_eq!(refused.status(), 503);
+    assert_eq!(refused.headers["retry-after"], "1.000");
+    assert!(std::fs::metadata(node.journal()).unwrap().len() <= 20_000);
+    let endpoint = Served::new();
+    platform.tell(&[listing("e1", 7, "plain", endpoint.address)]);
+    endpoint.next().reply(status(200));
+    // The answer is on its way to the journal: there is room once it has got there.
+    let begun = std::time::Instant::now();
+    while node.hand_in("again", "order", 7, 20_000).status() != 202 {
+        assert!(begun.elapsed() < PATIENCE, "room comes back");
+        std::thread::yield_now();
+    }
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -482,3 +482,78 @@
     s.end(Outcome::Delivered);
     assert!(!s.other.contains(&close), "used again within the time that an idle one lives");
 }
+
+fn resumed(s: &mut Sender, class: usize, attempts: u32, ran: &[Micros]) -> MessageId {
+    let message = s.message(class, None, 20 * SECOND);
+    let id = message.id;
+    let may_have_run = ran.iter().map(|age| (*age, endpoint(1))).collect();
+    s.tell(vec![Event::Resumed { message, attempts, may_have_run }]);
+    id
+}
+
+/// Guards against a restart that repeats an effect.
+#[test]
+fn a_resumed_message_is_bound_by_what_may_have_run() {
+    let mut s = one();
+    let unsafe_one = resumed(&mut s, ONCE, 1, &[SECOND]);
+    assert_eq!(s.failed, [unsafe_one]);
+    let late = resumed(&mut s, KEYED, 1, &[5 * SECOND]);
+    assert_eq!(s.failed, [unsafe_one, late], "the key is remembered for too short a time");
+    assert!(s.sent.is_empty());
+    resumed(&mut s, KEYED, 1, &[2 * SECOND]);
+    resumed(&mut s, ONCE, 1, &[]);
+    assert_eq!(s.sent.len(), 2, "both can do no harm");
+    let used_up = resumed(&mut s, ONCE, 4, &[]);
+    assert_eq!(s.refused.iter().map(|r| r.0).collect::<Vec<_>>(), [used_up]);
+}
+
+/// Guards against a call that is cut off by the end of the process and must not be repeated.
+#[test]
+fn nothing_unsafe_is_out_when_the_process_ends() {
+    let mut s = one();
+    s.serve(20);
+    let end = s.now + 3 * SECOND;
+    s.tell(vec![Event::Stopping(end)]);
+    s.accept(ONCE);
+    assert!(s.out[0].until <= end);
+    s.end(Outcome::Delivered);
+    s.pass(29 * SECOND / 10);
+    let before = s.sent.len();
+    s.accept(ONCE);
+    assert_eq!(s.sent.len(), before, "its answer would come too late");
+    s.accept(KEYED);
+    assert_eq!(s.sent.len(), before + 1, "the next process may repeat it");
+}
+
+#[test]
+fn a_wait_in_any_answer_binds() {
+    let mut s = one();
+    s.tell(vec![Event::Wait { endpoint: endpoint(1), wait: SECOND }]);
+    s.accept(SAFE);
+    s.pass(SECOND - 10_000);
+    assert!(s.sent.is_empty());
+    s.pass(20_000);
+    assert_eq!(s.sent.len(), 1);
+}
+
+/// Guards against a call whose answer counts for nothing since its first message was over already.
+#[test]
+fn a_message_that_was_not_sent_does_not_judge_its_call() {
+    let mut s = Sender::new(settings(), &[]);
+    for _ in 0..10 {
+        s.accept(SAFE);
+    }
+    s.tell(vec![Event::List(vec![entry(1, 2)])]);
+    for _ in 0..5 {
+        let call: Vec<_> = s.out.drain(..s.out.len().min(5)).collect();
+        let ends = call.iter().enumerate().map(|(n, out)| {
+            s.ended(*out, if n == 0 { Outcome::Moot { no_slot: false } } else { Outcome::Error })
+        });
+        let ends = ends.collect();
+        s.tell(ends);
+    }
+    let before = s.sent.len();
+    s.accept(SAFE);
+    s.pass(SECOND / 2);
+    assert_eq!(s.sent.len(), before, "five failed calls have opened the breaker");
+}
