Bind keyed calls at the process's end, and tidy the intake

While stopping, a keyed call whose window would be over when the next process repeats it is not begun: cut off by SIGKILL, it could only end as undeliverable. Found by reading the path from SIGTERM to replay; shown by the module's test, which fails without the check.

--- a/src/main.rs
+++ b/src/main.rs
@@ -27,13 +27,15 @@
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let (inbound, events) = mpsc::unbounded_channel();
-        let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
-        let said = inbound.clone();
-        tokio::task::spawn_local(async move {
-            if terminate.recv().await.is_some() {
-                let _ = said.send(Inbound::Terminate);
-            }
-        });
+        for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+            let mut asked = signal(kind).map_err(|e| format!("signals: {e}"))?;
+            let inbound = inbound.clone();
+            tokio::task::spawn_local(async move {
+                if asked.recv().await.is_some() {
+                    let _ = inbound.send(Inbound::Terminate);
+                }
+            });
+        }
         driver::run(config, inbound, events).await
     })
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -40,7 +40,17 @@
 /// A message handed in within this turn.
 struct Fresh {
     taken: Taken,
-    answer: oneshot::Sender<Answer>,
+    /// Those who wait for the answer: more than one where a client said it once more.
+    answers: Vec<oneshot::Sender<Answer>>,
+}
+
+impl Fresh {
+    fn answer(self, answer: Answer) {
+        for waiting in self.answers {
+            // Who does not wait any more has said so.
+            let _ = waiting.send(answer);
+        }
+    }
 }
 
 struct Driver {
@@ -228,6 +238,7 @@
                     }
                 }
             }
+            Inbound::Terminate if self.stop_at.is_some() => {}
             Inbound::Terminate => {
                 let at = self.clock.now() + STOP_WITHIN;
                 self.stop_at = Some(at);
@@ -239,9 +250,12 @@
 
     fn handed_in(&mut self, message: HandedIn, said: &mut Vec<Event>) {
         let HandedIn { taken, class, answer } = message;
-        if self.held.contains_key(&taken.id) {
+        if let Some(number) = self.held.get(&taken.id) {
             // The client did not hear that it is taken on, and says it once more.
-            let _ = answer.send(Answer::Taken);
+            match self.fresh.get_mut(number) {
+                Some(fresh) => fresh.answers.push(answer),
+                None => drop(answer.send(Answer::Taken)),
+            }
             return;
         }
         let pending: u64 = self.fresh.values().map(|fresh| Journal::room_for(&fresh.taken)).sum();
@@ -253,7 +267,7 @@
         self.next_message = number.wrapping_add(1);
         said.push(Event::Accepted(self::message(number, class, &taken, self.clock.now())));
         self.held.insert(taken.id.clone(), number);
-        self.fresh.insert(number, Fresh { taken, answer });
+        self.fresh.insert(number, Fresh { taken, answers: vec![answer] });
     }
 
     fn ended(&mut self, end: AttemptOver) -> Event {
@@ -386,9 +400,9 @@
             }
         }
         for (number, how) in given_up {
-            if let Some(Fresh { taken, answer }) = fresh.remove(&number) {
-                self.forget(number, &taken.id);
-                let _ = answer.send(match how {
+            if let Some(fresh) = fresh.remove(&number) {
+                self.forget(number, &fresh.taken.id);
+                fresh.answer(match how {
                     GivenUp::Deferred(again) => Answer::Refused(again),
                     GivenUp::Undeliverable => Answer::Failed,
                 });
@@ -411,7 +425,7 @@
             self.withhold(records, fresh, &sends);
         } else {
             for fresh in fresh.into_values() {
-                let _ = fresh.answer.send(Answer::Taken);
+                fresh.answer(Answer::Taken);
             }
             for (number, how, id) in std::mem::take(&mut self.unsaid) {
                 self.notify(number, how, id);
@@ -436,10 +450,10 @@
                 AttemptOver { message, attempt, endpoint, outcome, gone: false, took: 0, report: vec![] };
             let _ = self.inbound.send(Inbound::CallOver(vec![end]));
         }
-        for (number, Fresh { taken, answer }) in fresh {
-            self.forget(number, &taken.id);
+        for (number, fresh) in fresh {
+            self.forget(number, &fresh.taken.id);
             let _ = self.inbound.send(Inbound::Event(Event::Left(MessageId(number))));
-            let _ = answer.send(Answer::Refused(NO_ROOM_AGAIN));
+            fresh.answer(Answer::Refused(NO_ROOM_AGAIN));
         }
     }
 
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -12,7 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use myrtleyard::interface::Micros;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
@@ -20,6 +20,9 @@
 use super::journal::Taken;
 use super::{BODY_LIMIT, Clock, Inbound};
 
+/// Guards the places for clients: a connection that brings no request for so long is closed.
+const HEAD_WITHIN: Duration = Duration::from_secs(60);
+
 /// A message that a client hands in, and where its answer goes.
 #[derive(Debug)]
 pub struct HandedIn {
@@ -119,8 +122,11 @@
         let already = *stopping.borrow_and_update();
         let service = service_fn(|request| self.answer(request));
         // While stopping, a new connection gets one answer: clients need the time to go elsewhere.
-        let connection =
-            http1::Builder::new().keep_alive(!already).serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_WITHIN)
+            .keep_alive(!already)
+            .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         loop {
             tokio::select! {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,6 +26,9 @@
 /// What each further message adds to the weight of a call at a cold destination.
 const BUNDLE_WEIGHT: f64 = 0.25;
 
+/// From the end of a process until the next one repeats what was out, connection and all.
+const RESTART: Micros = 2_000_000;
+
 /// What a breaker guards: a destination, or one endpoint of it where its routes are apart.
 type RouteId = (DestinationId, Option<EndpointId>);
 
@@ -815,8 +818,14 @@
         }
         let route_id = (endpoint.destination, endpoint.kind.routes_apart.then_some(endpoint_id));
         let Some(route) = self.routes.get_mut(&route_id) else { return false };
-        // Nothing may be out at the end of the process that must not be repeated after it.
-        let until = self.stop_at.filter(|_| class.effect == Effect::Once).unwrap_or(Micros::MAX);
+        // Nothing may be out at the end of the process that the next one must not repeat.
+        let first = held.may_have_run.iter().map(|a| a.1).min().unwrap_or(now);
+        let binds = |end: &Micros| match class.effect {
+            Effect::Repeatable => false,
+            Effect::Once => true,
+            Effect::Keyed { window, .. } => end + RESTART >= first + window,
+        };
+        let until = self.stop_at.filter(binds).unwrap_or(Micros::MAX);
         if now.saturating_add(route.patience(class.aim)) > until {
             return false;
         }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -523,6 +523,8 @@
     assert_eq!(s.sent.len(), before, "its answer would come too late");
     s.accept(KEYED);
     assert_eq!(s.sent.len(), before + 1, "the next process may repeat it");
+    resumed(&mut s, KEYED, 1, &[9 * SECOND / 2]);
+    assert_eq!(s.sent.len(), before + 1, "its window would be over then");
 }
 
 #[test]
