--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -268,3 +268,24 @@
     // The answer is on its way to the journal: there is room once it has got there.
     wait_until(|| node.hand_in("again", "order", 7, 20_000).status() == 202);
 }
+
+/// Guards the promise of a 202: what the journal can't hold is neither taken on nor sent, and does not spoil
+/// what it can.
+#[test]
+fn a_journal_that_cannot_be_written_takes_nothing_on() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start_short_of_disk(&platform, &[listing("e1", 7, "plain", endpoint.address)]);
+    let small = String::from_utf8(handing_in("big", "order", 7, 20_000)).unwrap();
+    let (head, _) = small.split_once("Content-Length").unwrap();
+    let big = format!("{head}Content-Length: 4000\r\n\r\n{}", "x".repeat(4000));
+    let refused = node.ask(big.as_bytes());
+    assert_eq!(refused.status(), 503);
+    assert_eq!(refused.headers["retry-after"], "1.000");
+    assert_eq!(node.hand_in("small", "order", 7, 20_000).status(), 202);
+    let call = endpoint.next();
+    assert_eq!(call.http.headers["req-id"], "small");
+    let node = node.kill_and_restart();
+    assert_eq!(platform.notice(204), [json!({"id": "small", "status": "undeliverable"})]);
+    drop((call, node));
+    assert!(!endpoint.unseen());
+}
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -233,14 +233,38 @@
 
 pub fn command(folder: &std::path::Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_myrtleyard"));
+    surround(&mut command, folder);
+    command
+}
+
+fn surround(command: &mut Command, folder: &std::path::Path) {
     command.env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY").env_remove("NODE_NAME");
     command.env("NODE_CONFIG", folder.join("config.json")).env("NODE_STATE", folder.join("state"));
-    command
 }
 
 impl Node {
     /// Starts a sender that knows these endpoints; `change` alters its configuration.
     pub fn start(platform: &Platform, endpoints: &[Value], change: impl FnOnce(&mut Value)) -> Self {
+        let folder = Self::configure(platform, endpoints, change);
+        let command = command(folder.path());
+        Self::run(folder, command)
+    }
+
+    /// The same with files that can't grow beyond a block: writing the journal fails.
+    pub fn start_short_of_disk(platform: &Platform, endpoints: &[Value]) -> Self {
+        let folder = Self::configure(platform, endpoints, |_| {});
+        let mut shell = Command::new("sh");
+        let program = env!("CARGO_BIN_EXE_myrtleyard");
+        shell.args(["-c", "trap '' XFSZ; ulimit -f 1; exec \"$0\"", program]);
+        surround(&mut shell, folder.path());
+        Self::run(folder, shell)
+    }
+
+    fn configure(
+        platform: &Platform,
+        endpoints: &[Value],
+        change: impl FnOnce(&mut Value),
+    ) -> Arc<tempfile::TempDir> {
         let folder = tempfile::tempdir().unwrap();
         let mut config = json!({
             "name": "n1", "listen": "127.0.0.1:0", "discovery": platform.address.to_string(),
@@ -263,11 +287,11 @@
                                 "stop_sending_within_us": 2_000_000}}});
         change(&mut config);
         std::fs::write(folder.path().join("config.json"), config.to_string()).unwrap();
-        Self::run(Arc::new(folder))
+        Arc::new(folder)
     }
 
-    fn run(folder: Arc<tempfile::TempDir>) -> Self {
-        let mut child = command(folder.path()).stderr(Stdio::piped()).spawn().unwrap();
+    fn run(folder: Arc<tempfile::TempDir>, mut command: Command) -> Self {
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
@@ -281,7 +305,7 @@
     pub fn kill_and_restart(mut self) -> Self {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
-        Self::run(self.folder.clone())
+        Self::run(self.folder.clone(), command(self.folder.path()))
     }
 
     pub fn terminate(&self) {
