--- a/src/main.rs
+++ b/src/main.rs
@@ -27,12 +27,13 @@
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let (inbound, events) = mpsc::unbounded_channel();
-        for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        for kind in [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()] {
             let mut asked = signal(kind).map_err(|e| format!("signals: {e}"))?;
             let inbound = inbound.clone();
             tokio::task::spawn_local(async move {
-                if asked.recv().await.is_some() {
-                    let _ = inbound.send(Inbound::Terminate);
+                while asked.recv().await.is_some() {
+                    let reload = kind == SignalKind::hangup();
+                    let _ = inbound.send(if reload { Inbound::Reload } else { Inbound::Terminate });
                 }
             });
         }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -114,6 +114,17 @@
     })
 }
 
+/// Reads the configuration again and tells where discovery is by now; what the environment said at the start
+/// is no longer so.
+///
+/// # Errors
+/// Fails, in one line, when the configuration cannot be read.
+pub fn discovery_again() -> Result<SocketAddr, String> {
+    let path = variable("NODE_CONFIG")?.ok_or("NODE_CONFIG is not set")?;
+    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    Ok(parse(&text).map_err(|e| format!("{path}: {e}"))?.discovery)
+}
+
 fn parse(text: &[u8]) -> Result<Config, String> {
     let raw: Raw = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let settings = serde_json::to_vec(&raw.settings).map_err(|e| e.to_string())?;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::calls::{Calls, Limits, Line, Part};
-use super::config::{Config, Names};
+use super::config::{self, Config, Names};
 use super::intake::{Answer, HandedIn, Intake};
 use super::journal::{GivenUp, Journal, Live, Record, Taken};
 use super::peers::Peers;
@@ -26,6 +26,8 @@
 const STILL_CALLED: Micros = 1_000_000;
 /// Advice to clients while the journal has no room.
 const NO_ROOM_AGAIN: Micros = 1_000_000;
+/// Advice to clients whose destination no list has named yet.
+const UNLISTED_AGAIN: Micros = 1_000_000;
 /// Descriptors that are neither clients' nor endpoints'.
 const OWN_SOCKETS: usize = 32;
 
@@ -40,13 +42,13 @@
 /// A message handed in within this turn.
 struct Fresh {
     taken: Taken,
-    /// Those who wait for the answer: more than one where a client said it once more.
-    answers: Vec<oneshot::Sender<Answer>>,
+    /// Those who wait for the answer, by their requests' numbers: more than one where it was said once more.
+    answers: Vec<(u64, oneshot::Sender<Answer>)>,
 }
 
 impl Fresh {
     fn answer(self, answer: Answer) {
-        for waiting in self.answers {
+        for (_, waiting) in self.answers {
             // Who does not wait any more has said so.
             let _ = waiting.send(answer);
         }
@@ -63,6 +65,7 @@
     peers: Option<Peers>,
     notices: UnboundedSender<Notice>,
     whole_list: Rc<Notify>,
+    discovery: watch::Sender<SocketAddr>,
     inbound: UnboundedSender<Inbound>,
     stopping: watch::Sender<bool>,
     stop_at: Option<Micros>,
@@ -72,8 +75,10 @@
     given: u64,
     timers: BTreeSet<(Micros, u64)>,
     next_message: u32,
-    /// Numbers of the messages that are held, by their `Req-Id`.
-    held: HashMap<String, u32>,
+    /// By their `Req-Id`: numbers of the messages that are held, and of the requests by which they came.
+    held: HashMap<String, (u32, u64)>,
+    /// Destinations that a list has named.
+    destinations: BTreeSet<u16>,
     /// Attempts begun for each message that is held.
     attempts: HashMap<u32, u16>,
     /// Handed in since the last turn, or in it.
@@ -100,6 +105,7 @@
     let (stopping, stop) = watch::channel(false);
     let (notices, owed) = unbounded_channel();
     let whole_list = Rc::new(Notify::new());
+    let (discovery, found) = watch::channel(config.discovery);
     let sides = config.sockets.saturating_sub(OWN_SOCKETS) / 2;
     let limits = Limits {
         connect: config.settings.connect_timeout.max(1),
@@ -117,6 +123,7 @@
         peers,
         notices,
         whole_list: whole_list.clone(),
+        discovery,
         inbound: inbound.clone(),
         stopping,
         stop_at: None,
@@ -125,6 +132,7 @@
         given: 0,
         timers: BTreeSet::new(),
         held: HashMap::new(),
+        destinations: BTreeSet::new(),
         attempts: HashMap::new(),
         fresh: BTreeMap::new(),
         unwritten: Vec::new(),
@@ -138,10 +146,12 @@
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    let intake = Rc::new(Intake::new(clock, config.names.classes, inbound.clone(), stop));
+    let longest = config.settings.classes.iter().map(|class| class.deadline);
+    let classes = config.names.classes.into_iter().zip(longest).collect();
+    let intake = Rc::new(Intake::new(clock, classes, inbound.clone(), stop));
     tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1)));
-    tokio::task::spawn_local(platform::notices(config.discovery, owed, inbound.clone()));
-    tokio::task::spawn_local(platform::watch(config.discovery, index, whole_list, inbound));
+    tokio::task::spawn_local(platform::notices(found.clone(), owed, inbound.clone()));
+    tokio::task::spawn_local(platform::watch(found, index, whole_list, inbound));
     eprintln!("{} is ready on {address} with {} messages in hand", config.name, driver.journal.live().len());
 
     let period = Duration::from_micros(config.settings.period);
@@ -187,7 +197,7 @@
         let mut said = vec![self.listed(ListBody { snapshot: true, ..known })];
         let live: Vec<(u32, Live)> = self.journal.live().iter().map(|(n, l)| (*n, l.clone())).collect();
         for (number, live) in live {
-            self.held.insert(live.taken.id.clone(), number);
+            self.held.insert(live.taken.id.clone(), (number, 0));
             let may_have_run: Vec<_> = live
                 .attempts
                 .iter()
@@ -218,15 +228,7 @@
     fn fold(&mut self, inbound: Inbound, said: &mut Vec<Event>) {
         match inbound {
             Inbound::HandedIn(message) => self.handed_in(message, said),
-            Inbound::Withdrawn(id) => {
-                if let Some(number) = self.held.get(&id).copied() {
-                    said.push(Event::Left(MessageId(number)));
-                    if self.fresh.remove(&number).is_none() {
-                        self.unwritten.push(Record::Over(number));
-                    }
-                    self.forget(number, &id);
-                }
-            }
+            Inbound::Withdrawn { id, request } => self.withdrawn(&id, request, said),
             Inbound::CallOver(ends) => ends.into_iter().for_each(|end| said.push(self.ended(end))),
             Inbound::Event(event) => said.push(event),
             Inbound::Listed(platform::Listed(list)) => said.push(self.listed(list)),
@@ -238,6 +240,12 @@
                     }
                 }
             }
+            Inbound::Reload => match config::discovery_again() {
+                Ok(address) => {
+                    self.discovery.send_if_modified(|at| std::mem::replace(at, address) != address);
+                }
+                Err(e) => eprintln!("the configuration stays as it was: {}", e.replace(['\n', '\r'], " ")),
+            },
             Inbound::Terminate if self.stop_at.is_some() => {}
             Inbound::Terminate => {
                 let at = self.clock.now() + STOP_WITHIN;
@@ -249,15 +257,20 @@
     }
 
     fn handed_in(&mut self, message: HandedIn, said: &mut Vec<Event>) {
-        let HandedIn { taken, class, answer } = message;
-        if let Some(number) = self.held.get(&taken.id) {
+        let HandedIn { taken, class, request, answer } = message;
+        if let Some((number, _)) = self.held.get(&taken.id) {
             // The client did not hear that it is taken on, and says it once more.
             match self.fresh.get_mut(number) {
-                Some(fresh) => fresh.answers.push(answer),
+                Some(fresh) => fresh.answers.push((request, answer)),
                 None => drop(answer.send(Answer::Taken)),
             }
             return;
         }
+        // Guards the room against messages that nobody takes: a new destination's first list may be on its way.
+        if !self.destinations.contains(&taken.destination) {
+            let _ = answer.send(Answer::Refused(UNLISTED_AGAIN));
+            return;
+        }
         let pending: u64 = self.fresh.values().map(|fresh| Journal::room_for(&fresh.taken)).sum();
         if !self.journal.has_room(&taken, pending) {
             let _ = answer.send(Answer::Refused(NO_ROOM_AGAIN));
@@ -266,8 +279,26 @@
         let number = self.next_message;
         self.next_message = number.wrapping_add(1);
         said.push(Event::Accepted(self::message(number, class, &taken, self.clock.now())));
-        self.held.insert(taken.id.clone(), number);
-        self.fresh.insert(number, Fresh { taken, answers: vec![answer] });
+        self.held.insert(taken.id.clone(), (number, request));
+        self.fresh.insert(number, Fresh { taken, answers: vec![(request, answer)] });
+    }
+
+    /// A withdrawal belongs to its own request: guards a message against another client that used its id.
+    fn withdrawn(&mut self, id: &str, request: u64, said: &mut Vec<Event>) {
+        let Some((number, taken_by)) = self.held.get(id).copied() else { return };
+        if let Some(fresh) = self.fresh.get_mut(&number) {
+            fresh.answers.retain(|waiting| waiting.0 != request);
+            if !fresh.answers.is_empty() {
+                return;
+            }
+            self.fresh.remove(&number);
+        } else if taken_by == request {
+            self.unwritten.push(Record::Over(number));
+        } else {
+            return;
+        }
+        said.push(Event::Left(MessageId(number)));
+        self.forget(number, id);
     }
 
     fn ended(&mut self, end: AttemptOver) -> Event {
@@ -276,7 +307,7 @@
         let owed = live.filter(|live| live.given_up.is_none()).map(|live| live.taken.id.clone());
         // Over already, or given up: what comes now changes nothing.
         let mut terminal = true;
-        if let Some(id) = owed.filter(|id| self.held.get(id) == Some(&number)) {
+        if let Some(id) = owed.filter(|id| self.held.get(id).is_some_and(|held| held.0 == number)) {
             terminal = end.gone || end.outcome == Outcome::Delivered;
             self.unwritten.push(if terminal {
                 Record::Over(number)
@@ -344,6 +375,7 @@
                 _ => Listing::Draining,
             };
             entry(endpoint, listing.group, state);
+            self.destinations.insert(listing.group);
             if let (Some(entry), true) = (entries.last_mut(), listing.weight.is_finite()) {
                 entry.weight = listing.weight.max(0.0);
             }
@@ -459,10 +491,12 @@
 
     /// The number of a message's next attempt, if it is held.
     fn attempts_of(&mut self, message: MessageId, fresh: &BTreeMap<u32, Fresh>) -> Option<u16> {
-        let known = fresh.contains_key(&message.0) || self.journal.live().contains_key(&message.0);
+        if !fresh.contains_key(&message.0) && !self.journal.live().contains_key(&message.0) {
+            return None;
+        }
         let count = self.attempts.entry(message.0).or_default();
         *count += 1;
-        known.then_some(*count - 1)
+        Some(*count - 1)
     }
 
     fn line(&self, endpoint: EndpointId) -> Option<Line> {
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -1,27 +1,37 @@
 //! What clients ask: to take a message, and whether the sender is ready.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use myrtleyard::interface::Micros;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
+use tokio::sync::{Notify, mpsc::UnboundedSender, oneshot, watch};
+use tokio::time::{Instant, timeout};
 
 use super::journal::Taken;
 use super::{BODY_LIMIT, Clock, Inbound};
 
 /// Guards the places for clients: a connection that brings no request for so long is closed.
-const HEAD_WITHIN: Duration = Duration::from_secs(60);
+const HEAD_WITHIN: Duration = Duration::from_millis(2200);
+/// How long a request's body may take; who hands a message in waits no longer than that.
+const BODY_WITHIN: Duration = Duration::from_millis(400);
+/// A head of more bytes is not read to its end.
+const HEAD_LIMIT: usize = 16 * 1024;
+/// How long one looks for a place before one looks again.
+const PLACE_WITHIN: Duration = Duration::from_millis(5);
+/// A deadline is told in whole milliseconds: it may be so much longer than its class's.
+const DEADLINE_SLACK: Micros = 1000;
 
 /// A message that a client hands in, and where its answer goes.
 #[derive(Debug)]
@@ -30,6 +40,8 @@
     pub taken: Taken,
     /// Its class's position in the settings.
     pub class: usize,
+    /// The request's number, from 1.
+    pub request: u64,
     /// Waits for the answer.
     pub answer: oneshot::Sender<Answer>,
 }
@@ -45,29 +57,64 @@
     Failed,
 }
 
+/// A client's connection, as far as others may have to take its place.
+struct Place {
+    /// When its last request ended, or it came.
+    since: Cell<Instant>,
+    /// Requests of its that were answered.
+    answered: Cell<u64>,
+    /// A request is open on it.
+    asking: Cell<bool>,
+    /// It is to be closed if no request is open on it.
+    close: Notify,
+}
+
 /// What all client connections share.
 pub struct Intake {
     clock: Clock,
-    classes: Vec<String>,
+    /// Each class's name and its longest deadline.
+    classes: Vec<(String, Micros)>,
     inbound: UnboundedSender<Inbound>,
     stopping: watch::Receiver<bool>,
-    open: Cell<usize>,
+    places: RefCell<HashMap<u64, Rc<Place>>>,
+    freed: Notify,
+    connections: Cell<u64>,
+    requests: Cell<u64>,
 }
 
 /// Tells the driver that a client went away before its answer.
 struct Withdrawal<'a> {
     id: Option<String>,
+    request: u64,
     inbound: &'a UnboundedSender<Inbound>,
 }
 
 impl Drop for Withdrawal<'_> {
     fn drop(&mut self) {
         if let Some(id) = self.id.take() {
-            let _ = self.inbound.send(Inbound::Withdrawn(id));
+            let _ = self.inbound.send(Inbound::Withdrawn { id, request: self.request });
         }
     }
 }
 
+/// Marks a connection as one with an open request until it is dropped.
+struct Asking<'a>(&'a Place);
+
+impl<'a> Asking<'a> {
+    fn new(place: &'a Place) -> Self {
+        place.asking.set(true);
+        Self(place)
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.0.asking.set(false);
+        self.0.answered.set(self.0.answered.get() + 1);
+        self.0.since.set(Instant::now());
+    }
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
@@ -75,6 +122,23 @@
     response
 }
 
+/// What no message can be; its connection is closed, for what follows on it can't be trusted either.
+fn told_off(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = plain(status, text);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn next(counter: &Cell<u64>) -> u64 {
+    counter.set(counter.get() + 1);
+    counter.get()
+}
+
+/// A whole number of digits alone.
+fn whole<T: std::str::FromStr>(text: &str) -> Option<T> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
 /// A header's text, if it is there and visible ASCII.
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok().map(str::trim).filter(|text| !text.is_empty())
@@ -84,66 +148,99 @@
     /// What connections share.
     pub fn new(
         clock: Clock,
-        classes: Vec<String>,
+        classes: Vec<(String, Micros)>,
         inbound: UnboundedSender<Inbound>,
         stopping: watch::Receiver<bool>,
     ) -> Self {
-        Self { clock, classes, inbound, stopping, open: Cell::new(0) }
+        let (places, freed) = (RefCell::default(), Notify::new());
+        let (connections, requests) = (Cell::new(0), Cell::new(0));
+        Self { clock, classes, inbound, stopping, places, freed, connections, requests }
     }
 
     /// Client connections that are open.
     pub fn open(&self) -> usize {
-        self.open.get()
+        self.places.borrow().len()
     }
 
     /// Takes connections for as long as the process runs, `most` at a time.
     pub async fn listen(self: Rc<Self>, listener: TcpListener, most: usize) {
-        let places = std::sync::Arc::new(Semaphore::new(most));
         loop {
-            let Ok(place) = places.clone().acquire_owned().await else { return };
+            while self.open() >= most {
+                self.free_place();
+                let _ = timeout(PLACE_WITHIN, self.freed.notified()).await;
+            }
             let Ok((stream, _)) = listener.accept().await else {
                 // Out of descriptors, say: it must not spin.
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             };
+            let place = Rc::new(Place {
+                since: Cell::new(Instant::now()),
+                answered: Cell::new(0),
+                asking: Cell::new(false),
+                close: Notify::new(),
+            });
+            let number = next(&self.connections);
+            self.places.borrow_mut().insert(number, place.clone());
             let intake = self.clone();
             tokio::task::spawn_local(async move {
-                intake.open.set(intake.open.get() + 1);
-                intake.serve(stream).await;
-                intake.open.set(intake.open.get() - 1);
-                drop(place);
+                intake.serve(stream, &place).await;
+                intake.places.borrow_mut().remove(&number);
+                intake.freed.notify_one();
             });
         }
     }
 
-    async fn serve(&self, stream: TcpStream) {
+    /// Guards against connections that keep others out: the one that never asked for anything goes first, then
+    /// the one that has been longest without an open request.
+    fn free_place(&self) {
+        let places = self.places.borrow();
+        let idle = places.values().filter(|place| !place.asking.get());
+        if let Some(place) = idle.min_by_key(|place| (place.answered.get() > 0, place.since.get())) {
+            place.close.notify_one();
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream, place: &Place) {
         let _ = stream.set_nodelay(true);
         let mut stopping = self.stopping.clone();
         let already = *stopping.borrow_and_update();
-        let service = service_fn(|request| self.answer(request));
+        let service = service_fn(|request| self.answer(request, place));
         // While stopping, a new connection gets one answer: clients need the time to go elsewhere.
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_WITHIN)
+            .max_buf_size(HEAD_LIMIT)
             .keep_alive(!already)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         loop {
             tokio::select! {
+                biased;
                 _ = connection.as_mut() => return,
+                () = place.close.notified() => {
+                    if !place.asking.get() {
+                        return;
+                    }
+                }
                 Ok(()) = stopping.changed() => connection.as_mut().graceful_shutdown(),
             }
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        place: &Place,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let _asking = Asking::new(place);
         Ok(match (request.method(), request.uri().path()) {
             (&Method::GET, "/ready") if *self.stopping.borrow() => {
                 plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
             }
             (&Method::GET, "/ready") => plain(StatusCode::OK, "ready\n"),
             (&Method::POST, _) => self.hand_in(request).await,
-            _ => plain(StatusCode::NOT_FOUND, "not found\n"),
+            _ => told_off(StatusCode::NOT_FOUND, "not found\n"),
         })
     }
 
@@ -151,20 +248,31 @@
     async fn hand_in(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let came = self.clock.now();
         let (head, body) = request.into_parts();
-        let bad = |what| plain(StatusCode::BAD_REQUEST, what);
+        let bad = |what| told_off(StatusCode::BAD_REQUEST, what);
+        // Guards against a second request hidden in the body: beside it the library drops a Content-Length, or
+        // has dropped one, so that the two can't be told from one.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return bad("a body comes with Content-Length alone\n");
+        }
+        if body.size_hint().lower() > BODY_LIMIT as u64 {
+            return told_off(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n");
+        }
         let Some(id) = text(&head.headers, "req-id") else { return bad("Req-Id is missing\n") };
         let first = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
         let kind = text(&head.headers, "req-kind").unwrap_or(first);
-        let Some(class) = self.classes.iter().position(|name| name == kind && name == first) else {
+        let named = |class: &(String, Micros)| class.0 == kind && class.0 == first;
+        let Some(class) = self.classes.iter().position(named) else {
             return bad("Req-Kind or the path names no class\n");
         };
         let destination = text(&head.headers, "x-consignee").and_then(|pairs| {
             let mut pairs = pairs.split([',', ';']).filter_map(|pair| pair.split_once('='));
-            pairs.find(|(name, _)| name.trim() == "dest")?.1.trim().parse().ok()
+            whole(pairs.find(|(name, _)| name.trim() == "dest")?.1.trim())
         });
         let Some(destination) = destination else { return bad("X-Consignee names no dest\n") };
-        let left = text(&head.headers, "req-deadline-ms").and_then(|ms| ms.parse::<u32>().ok());
-        let Some(left) = left else { return bad("Req-Deadline-Ms is no time\n") };
+        let left = text(&head.headers, "req-deadline-ms").and_then(whole::<u32>);
+        let left = left.map(|ms| Micros::from(ms) * 1000);
+        let left = left.filter(|left| *left <= self.classes[class].1 + DEADLINE_SLACK);
+        let Some(left) = left else { return bad("Req-Deadline-Ms is no time that the class has\n") };
         let key = match head.headers.get("idempotency-key") {
             Some(_) => match text(&head.headers, "idempotency-key") {
                 Some(key) => Some(key.to_owned()),
@@ -173,16 +281,17 @@
             None => None,
         };
         let id = id.to_owned();
-        let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
-            return bad("the body can't be read or is over 64 KiB\n");
+        let Ok(Ok(body)) = timeout(BODY_WITHIN, Limited::new(body, BODY_LIMIT).collect()).await else {
+            return bad("the body can't be read, or not in time\n");
         };
-        let deadline = came + Micros::from(left) * 1000;
+        let deadline = came + left;
         let class_name = kind.to_owned();
         let body = body.to_bytes();
         let taken = Taken { id: id.clone(), key, class: class_name, destination, deadline, body };
-        let mut withdrawal = Withdrawal { id: Some(id), inbound: &self.inbound };
+        let request = next(&self.requests);
+        let mut withdrawal = Withdrawal { id: Some(id), request, inbound: &self.inbound };
         let (answer, answered) = oneshot::channel();
-        let _ = self.inbound.send(Inbound::HandedIn(HandedIn { taken, class, answer }));
+        let _ = self.inbound.send(Inbound::HandedIn(HandedIn { taken, class, request, answer }));
         let answered = answered.await;
         withdrawal.id = None;
         match answered {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,8 +21,13 @@
 pub enum Inbound {
     /// A client hands in a message.
     HandedIn(intake::HandedIn),
-    /// A client closed before it was answered: the message with this `Req-Id` counts for nothing.
-    Withdrawn(String),
+    /// A client closed before this request of its was answered: a message that came by it counts for nothing.
+    Withdrawn {
+        /// The message's `Req-Id`.
+        id: String,
+        /// The request's number.
+        request: u64,
+    },
     /// Attempts ended that travelled as one call.
     CallOver(Vec<AttemptOver>),
     /// Goes to the module as it is.
@@ -31,6 +36,8 @@
     Listed(platform::Listed),
     /// The platform has these notices.
     NoticesKept(Vec<MessageId>),
+    /// The configuration is to be read again.
+    Reload,
     /// The process was asked to end.
     Terminate,
 }
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -10,8 +10,8 @@
 use hyper::{Request, StatusCode};
 use myrtleyard::interface::{Event, MessageId};
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::{Notify, watch::Receiver};
 use tokio::time::timeout;
 
 use super::calls::Conn;
@@ -20,8 +20,9 @@
 
 /// How long a watch may be held open.
 const HOLD: Duration = Duration::from_secs(20);
-/// How much later its answer may come.
+/// How much later its answer may come; one that need not wait comes at once.
 const HOLD_SLACK: Duration = Duration::from_secs(3);
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Rest before a failed request is made again: a watch goes on if it comes back within 200 ms.
 const AGAIN: Duration = Duration::from_millis(50);
 /// How long a notice may take; it is sent again after that.
@@ -86,24 +87,37 @@
     Ok((head.status, body))
 }
 
-/// Watches the list from the version that is known, for as long as the process runs.
-pub async fn watch(address: SocketAddr, known: u64, whole: Rc<Notify>, inbound: UnboundedSender<Inbound>) {
+/// Watches the list from the version that is known, for as long as the process runs. Where discovery moves,
+/// it begins anew with the whole list there: versions of two places must not mix.
+pub async fn watch(
+    mut discovery: Receiver<SocketAddr>,
+    known: u64,
+    whole: Rc<Notify>,
+    inbound: UnboundedSender<Inbound>,
+) {
     let mut from = Some(known);
     let mut conn = None;
     loop {
-        let path = match from {
-            Some(from) => format!("/v1/endpoints?from={from}&hold_ms={}", HOLD.as_millis()),
-            None => "/v1/endpoints".to_owned(),
+        let address = *discovery.borrow_and_update();
+        let (path, within) = match from {
+            Some(from) => {
+                (format!("/v1/endpoints?from={from}&hold_ms={}", HOLD.as_millis()), HOLD + HOLD_SLACK)
+            }
+            None => ("/v1/endpoints".to_owned(), LIST_TIMEOUT),
         };
         let Ok(request) = Request::get(path).header("host", address.to_string()).body(Full::default()) else {
             return;
         };
         let answer = tokio::select! {
-            answer = timeout(HOLD + HOLD_SLACK, ask(&mut conn, address, request)) => answer,
+            answer = timeout(within, ask(&mut conn, address, request)) => answer,
             () = whole.notified() => {
                 from = None;
                 continue;
             }
+            Ok(()) = discovery.changed() => {
+                (from, conn) = (None, None);
+                continue;
+            }
         };
         let list = match answer {
             Ok(Ok((StatusCode::OK, body))) => serde_json::from_slice::<ListBody>(&body).ok(),
@@ -116,7 +130,9 @@
             }
             None => {
                 conn = None;
-                tokio::time::sleep(AGAIN).await;
+                if let Ok(Ok(())) = timeout(AGAIN, discovery.changed()).await {
+                    from = None;
+                }
                 Inbound::Event(Event::ListFailed)
             }
         };
@@ -156,9 +172,9 @@
     line
 }
 
-/// Sends notices, each until the platform has it.
+/// Sends notices, each until the platform has it, wherever that is by then.
 pub async fn notices(
-    address: SocketAddr,
+    mut discovery: Receiver<SocketAddr>,
     mut notices: UnboundedReceiver<Notice>,
     inbound: UnboundedSender<Inbound>,
 ) {
@@ -181,6 +197,10 @@
             body.extend(line);
             told.push(*message);
         }
+        if discovery.has_changed().unwrap_or(false) {
+            conn = None;
+        }
+        let address = *discovery.borrow_and_update();
         let request = Request::post("/reports")
             .header("host", address.to_string())
             .header("content-type", "application/json")
@@ -192,7 +212,14 @@
         {
             conn = Some(kept);
         }
-        match timeout(NOTICE_TIMEOUT, ask(&mut conn, address, request)).await {
+        let answer = tokio::select! {
+            answer = timeout(NOTICE_TIMEOUT, ask(&mut conn, address, request)) => answer,
+            Ok(()) = discovery.changed() => {
+                conn = None;
+                continue;
+            }
+        };
+        match answer {
             Ok(Ok((StatusCode::NO_CONTENT, _))) => {
                 owed.retain(|message, _| !told.contains(message));
                 most = usize::MAX;
