Let the pace grow where reports say that the others leave room, and doubt reports far from the list

A trace of what holds each first attempt back: at the sender with most traffic 271,154 of 272,932 refusals of Policy::admit in 5-10 s were for want of credit (its pace), 1.6 s in the median, 81% of the slow ones for two destinations; at the other sender 99 ms at the third quartile. Ruled out: slots (820), waits and pauses (958), ramp and breaker (none), turns (2.8 ms at most to a client's answer), places for clients. At fault: Route::record keeps the growth of the pace small beyond told / senders, though the senders carry very different traffic, and the share of the limit that is left (x0) was not read at all.

Now x0 is smoothed, and from 0.6 on the pace grows at its fastest, since a limit that is used up has half left on average within its span. A report's limit beyond four times the listed rate, either way, is not believed, and a list that repeats its rate does not undo what reports told.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,6 +23,9 @@
 /// Cut of the pace at a refusal, and its growth in an aim's time an aim after the cut.
 const PACE_CUT: f64 = 0.85;
 const PACE_GROWTH: f64 = 0.3;
+/// Smoothed share of a limit left at which its destination has room beyond our part. Within a span the share
+/// falls evenly, so that half is left on average at a destination that is used to its limit.
+const ROOM_LEFT: f64 = 0.6;
 /// What each further message adds to the weight of a call at a cold destination.
 const BUNDLE_WEIGHT: f64 = 0.25;
 
@@ -121,6 +124,10 @@
     served: (f64, f64, Micros),
     /// Calls a second from all senders that reports or the list tell of; 0 where nothing does.
     told: f64,
+    /// The same from the list alone.
+    listed: f64,
+    /// Share of the limit that reports say is left, smoothed.
+    left: f64,
     /// Pace in calls a second, without bound until a refusal; what it allows now, and as of when.
     pace: f64,
     credit: f64,
@@ -299,9 +306,11 @@
                 // The longer without a refusal, the faster the pace grows.
                 let calm = now.saturating_sub(self.cut_at) as f64 / aim.max(1) as f64;
                 let step = now.saturating_sub(self.grown_at.max(self.cut_at)) as f64 / aim.max(1) as f64;
-                // Beyond our part of a limit that is told, little is to be gained.
-                let known = self.told > 0.0 && self.pace > self.told / settings.senders as f64;
-                let calm = if known { calm.min(0.5) } else { calm.min(4.0) };
+                // Beyond our part of a limit that is told, little is to be gained,
+                // unless reports say that the others leave room: senders carry very different traffic.
+                let room = self.told > 0.0 && self.left >= ROOM_LEFT;
+                let ours = self.told > 0.0 && self.pace > self.told / settings.senders as f64;
+                let calm = if room { 4.0 } else { calm.min(if ours { 0.5 } else { 4.0 }) };
                 self.pace *= 1.0 + PACE_GROWTH * calm * step.min(1.0);
                 self.grown_at = now;
                 (self.bad_run, self.fulls) = (0, 0);
@@ -531,11 +540,15 @@
             let id = (entry.destination, kind.routes_apart.then_some(entry.endpoint));
             let now = self.now;
             let route = self.routes.entry(id).or_insert_with(|| Route::new(now));
-            route.told = match self.settings.weights {
-                Weights::None => route.told,
+            let listed = match self.settings.weights {
+                Weights::None => 0.0,
                 Weights::Nominal => entry.weight,
                 Weights::Rough => entry.weight / 1.5,
             };
+            // What reports told since is finer than a list that says the same as before.
+            if listed != route.listed {
+                (route.listed, route.told) = (listed, listed);
+            }
         }
         self.prune();
     }
@@ -563,11 +576,17 @@
     }
 
     fn note_report(&mut self, endpoint: EndpointId, report: &[f32]) {
-        let limit = self.settings.report.1.and_then(|at| report.get(at)).copied().unwrap_or(0.0);
+        let field = |at: Option<usize>| at.and_then(|at| report.get(at)).copied().map(f64::from);
+        let (left, limit) = (field(self.settings.report.0), field(self.settings.report.1));
         let route = self.route_of(endpoint).and_then(|id| self.routes.get_mut(&id));
-        if let (true, Some(route)) = (limit > 0.0, route) {
-            route.told = f64::from(limit);
+        let (Some(limit), Some(route)) = (limit, route) else { return };
+        // Guards against reports that can't be meant: the list is rough, but not by more than this.
+        let meant = route.listed == 0.0 || (route.listed / 4.0..=route.listed * 4.0).contains(&limit);
+        if limit <= 0.0 || !meant {
+            return;
         }
+        route.told = limit;
+        route.left += (left.unwrap_or(0.0).clamp(0.0, 1.0) - route.left) / 8.0;
     }
 
     fn ended(&mut self, id: MessageId, attempt: u16, outcome: Outcome, terminal: bool) {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -559,3 +559,55 @@
     s.pass(SECOND / 2);
     assert_eq!(s.sent.len(), before, "five failed calls have opened the breaker");
 }
+
+/// Calls that go within ten seconds after a refusal at a destination with this report, each served in 0.1 s.
+fn calls_after_a_refusal(left: f32, limit: f32) -> usize {
+    let mut s = Sender::new(Settings { senders: 2, weights: Weights::Nominal, ..settings() }, &[]);
+    s.tell(vec![Event::List(vec![Entry { weight: 20.0, ..entry(1, 0) }])]);
+    s.serve(20);
+    s.suffer(1, Outcome::Full(None));
+    let before = s.sent.len();
+    for _ in 0..200 {
+        s.accept(SAFE);
+        s.pass(SECOND / 20);
+        let over: Vec<_> = s.out.iter().filter(|o| o.sent + SECOND / 10 <= s.now).copied().collect();
+        s.out.retain(|o| !over.contains(o));
+        for out in over {
+            let mut event = s.ended(out, Outcome::Delivered);
+            if let Event::Ended { report, .. } = &mut event {
+                *report = vec![left, limit];
+            }
+            s.tell(vec![event]);
+        }
+    }
+    s.sent.len() - before
+}
+
+/// Guards a sender with most of the traffic against keeping to its equal part of a limit that others leave.
+#[test]
+fn the_pace_grows_where_reports_say_that_room_is_left() {
+    let (full, room) = (calls_after_a_refusal(0.1, 20.0), calls_after_a_refusal(0.9, 20.0));
+    assert!(room * 2 > full * 3, "{room} calls with room, {full} without");
+}
+
+/// Guards the pace against reports that are spoilt: the list is rough, but not by that much.
+#[test]
+fn a_report_far_from_the_list_is_not_believed() {
+    let plain = calls_after_a_refusal(0.9, 0.0);
+    for limit in [1e9, 1e-9, -20.0] {
+        assert_eq!(calls_after_a_refusal(0.9, limit), plain, "{limit}");
+    }
+}
+
+/// Guards against taking spoilt answers for failures of the destination.
+#[test]
+fn spoilt_answers_are_no_failures_but_may_have_run() {
+    let mut s = one();
+    s.serve(20);
+    for _ in 0..8 {
+        let once = s.accept(ONCE);
+        assert_eq!(s.out.last().map(|out| out.message), Some(once), "sent at once");
+        s.end(Outcome::Spoilt);
+        assert_eq!(s.failed.last(), Some(&once), "it may have run");
+    }
+}
