Let clients' connections that were answered make way before those that never asked

At fault: Intake::free_place closed first what had never asked, among it new connections whose first request was on its way; such a request has failed, while the client of a connection that was answered just opens another.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -191,12 +191,13 @@
         }
     }
 
-    /// Guards against connections that keep others out: the one that never asked for anything goes first, then
-    /// the one that has been longest without an open request.
+    /// Guards against connections that keep others out: the one that has been longest without an open request
+    /// goes. One that was answered goes before those that never asked: its client just opens another, while the
+    /// first request on a new one, if it is on its way, would fail.
     fn free_place(&self) {
         let places = self.places.borrow();
         let idle = places.values().filter(|place| !place.asking.get());
-        if let Some(place) = idle.min_by_key(|place| (place.answered.get() > 0, place.since.get())) {
+        if let Some(place) = idle.min_by_key(|place| (place.answered.get() == 0, place.since.get())) {
             place.close.notify_one();
         }
     }
