Give the pace back what was not sent, and let messages that others gave up at their age go last

A trace by guard: 5146 of 5900 s at the busier sender for want of credit. At fault: Policy::admit takes a call's credit, and Route::record gave none back for Moot although nothing was sent there; Policy::dispatch goes oldest first.

Each mend's test fails without it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -346,6 +346,8 @@
             // next call tells. It harms where an outage shows in resets alone, with answers between them.
             Outcome::Reset if self.lost_at <= self.answered_at => self.lost_at = now,
             Outcome::Error | Outcome::ConnectFailed | Outcome::Reset | Outcome::TimedOut => self.bad_run += 1,
+            // It used up nothing of the limit there. Guards the pace where messages are over before they go.
+            Outcome::Moot { no_slot: false } => self.credit += 1.0,
             Outcome::Full(_) | Outcome::Spoilt | Outcome::Cancelled | Outcome::Moot { .. } => {}
         }
         self.breaker.record(call, outcome, now, aim);
@@ -417,6 +419,8 @@
     reminder: Option<Micros>,
     /// Connections that are used no more often than this are closed after use.
     keep: Micros,
+    /// The age from which on messages were given up by those who handed them in.
+    given_up_from: Micros,
     /// Share of kept connections that were lost under a further call, smoothed.
     kept_lost: f64,
     /// When this process ends, once that is known.
@@ -432,6 +436,7 @@
             ask_at: settings.must_ask.then_some(now),
             tenants: vec![(0.0, now); settings.tenants.len()],
             keep: settings.idle_close,
+            given_up_from: Micros::MAX,
             kept_lost: 0.0,
             settings,
             rng: fastrand::Rng::with_seed(seed),
@@ -619,6 +624,7 @@
     fn ended(&mut self, id: MessageId, attempt: u16, outcome: Outcome, terminal: bool) {
         let Some(flight) = self.flights.remove(&(id, attempt)) else { return };
         let now = self.now;
+        let sent = self.calls.get(&flight.0).map_or(now, |call| call.sent);
         if let Some(call) = self.calls.get_mut(&flight.0) {
             // The messages of a call share one fate, which counts once.
             // What was not sent tells nothing of it, unless that is all there is to tell.
@@ -666,10 +672,29 @@
             held.may_have_run.retain(|a| a.0 != attempt || !outcome.never_ran());
         }
         if terminal {
+            self.note_age(id, sent, outcome);
             self.forget(id);
         }
     }
 
+    /// Learns how old messages get before those who wait for them give them up, of which only a call tells.
+    fn note_age(&mut self, id: MessageId, sent: Micros, outcome: Outcome) {
+        let Some(held) = self.held.get(&id) else { return };
+        let age = sent.saturating_sub(self.taken(held));
+        match outcome {
+            Outcome::Moot { .. } => self.given_up_from = self.given_up_from.min(age),
+            Outcome::Delivered if age > self.given_up_from => {
+                self.given_up_from += (age - self.given_up_from) / 8;
+            }
+            _ => {}
+        }
+    }
+
+    /// When a message was handed in.
+    fn taken(&self, held: &Held) -> Micros {
+        held.aim.saturating_sub(self.settings.classes[held.message.class].aim)
+    }
+
     /// The message is over; attempts that are out keep their slots until their outcomes come.
     fn forget(&mut self, id: MessageId) {
         let Some(held) = self.held.remove(&id) else { return };
@@ -825,7 +850,13 @@
             .held
             .iter()
             .filter(|(_, held)| held.out == 0)
-            .map(|(id, held)| (now > held.aim || self.within_share(held.message.tenant) < 0.5, held.aim, *id))
+            .map(|(id, held)| {
+                // Guards what is in time against what is late or given up: oldest first, a destination that
+                // is behind would get each message when nobody waits for it any more. It hurts those that
+                // wait longer than others.
+                let late = now > held.aim.min(self.taken(held).saturating_add(self.given_up_from));
+                (late || self.within_share(held.message.tenant) < 0.5, held.aim, *id)
+            })
             .collect();
         queue.sort_unstable();
         // Calls begun in this tick: later messages to the same endpoint travel along.
--- a/tests/node/lost.rs
+++ b/tests/node/lost.rs
@@ -128,3 +128,54 @@
     }
     panic!("nothing goes there any more, lost: {lost}");
 }
+
+/// Hands in so many notes, of which the first is turned away once: what comes next goes at the least pace,
+/// a call in 2 s, and one call at a time until one is accepted.
+fn turned_away(node: &Node, endpoint: &Served, ids: &[&str], within_ms: u32) -> Asked {
+    assert_eq!(node.hand_in(ids[0], "note", 7, within_ms).status(), 202);
+    let call = endpoint.next();
+    assert_eq!(call.http.headers["req-id"], ids[0]);
+    let before = node.journal_length();
+    call.reply(status(503));
+    // The refusal has been read once the journal has heard of it.
+    wait_until(|| node.journal_length() > before);
+    for id in &ids[1..] {
+        assert_eq!(node.hand_in(id, "note", 7, within_ms).status(), 202);
+    }
+    let again = endpoint.next();
+    assert_eq!(again.http.headers["req-id"], ids[0]);
+    again
+}
+
+/// Guards the pace where messages are over before they go: a call that was not sent there used up nothing.
+#[test]
+fn a_call_for_a_message_that_is_over_costs_no_pace() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    // At a call in 2 s, most of these would be out of time.
+    let ids = ["a", "b", "c", "d", "e"];
+    turned_away(&node, &endpoint, &ids, 5000).reply(status(410));
+    for id in &ids[1..] {
+        let call = endpoint.next();
+        assert_eq!(call.http.headers["req-id"], *id);
+        call.reply(status(410));
+    }
+    assert!(platform.notices.try_recv().is_err());
+}
+
+/// Guards messages that are still waited for against those that nobody waits for any more, where a destination
+/// is behind: how old these get is learnt from a call that comes too late.
+#[test]
+fn messages_as_old_as_one_that_was_given_up_go_last() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    let over = turned_away(&node, &endpoint, &["a", "old"], 24_000);
+    assert_eq!(node.hand_in("new", "note", 7, 24_000).status(), 202);
+    // The older one gets past the age at which the first was sent; aims are at 4 s, and neither has passed its own.
+    std::thread::sleep(Duration::from_millis(500));
+    over.reply(status(410));
+    let next = endpoint.next();
+    assert_eq!(next.http.headers["req-id"], "new");
+    next.reply(status(200));
+    assert_eq!(endpoint.next().http.headers["req-id"], "old");
+}
