Call off what may be repeated once its answer would be most unusual, and free its slot

At fault: Policy::admit gave every attempt the class's aim as time-out, whatever the destination's answers usually took.

Now an attempt that may be repeated has twice the destination's patience (mean and deviation of its answers), where that is neither cold nor turning calls away; a time-out makes the patience grow. What must not be repeated is waited for as before.

The test fails without the change.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -265,11 +265,10 @@
         sent >= self.answered_at && sent + self.patience(aim) <= now
     }
 
-    fn note_answer(&mut self, sent: Micros, now: Micros) {
+    fn note_took(&mut self, sent: Micros, now: Micros) {
         let took = (now - sent) as f64;
         let (mean, dev) = self.usual.unwrap_or((took, took / 2.0));
         self.usual = Some((mean + (took - mean) / 8.0, dev + ((took - mean).abs() - dev) / 8.0));
-        self.answered_at = now;
     }
 
     /// Learns the pace of a destination that refuses: what it granted of late, or our part of what it
@@ -640,7 +639,11 @@
                 }
                 if first {
                     if matches!(outcome, Outcome::Delivered | Outcome::Error | Outcome::Spoilt) {
-                        route.note_answer(call.sent, now);
+                        route.note_took(call.sent, now);
+                        route.answered_at = now;
+                    } else if outcome == Outcome::TimedOut {
+                        // Patience grows with it: guards a destination that becomes slow against repeats.
+                        route.note_took(call.sent, now);
                     }
                     route.record(&self.settings, flight.0, call.sent, outcome, now);
                 }
@@ -962,6 +965,8 @@
             return false;
         }
         let call = joined.map_or(self.next_call, |b| b.0);
+        let well = route.fulls == 0 && route.cold_share(&self.settings.rules, now).is_none();
+        let patience = if well { (2 * route.patience(class.aim)).min(class.aim) } else { class.aim };
         route.sent.push_back((now, weight));
         if joined.is_none() {
             self.next_call += 1;
@@ -989,7 +994,11 @@
                 line.out.insert((id, attempt));
             }
             self.flights.insert((id, attempt), (call, key));
-            let timeout = class.aim.min(last_call - now).min(until - now).max(1);
+            // What may be repeated is called off once its answer would be most unusual. Guards the slots, and
+            // the message's time, against calls that hang or lose their answers one by one. It costs repeats
+            // where answer times jump; a destination that is cold or turns calls away gets the aim's time.
+            let patience = if class.effect == Effect::Once { class.aim } else { patience };
+            let timeout = patience.min(last_call - now).min(until - now).max(1);
             // Safe to repeat: nothing is lost with the connection but time.
             let hold = if class.effect == Effect::Repeatable { 0 } else { HOLD };
             let fresh = class.effect == Effect::Once && self.kept_lost > KEPT_LOST;
--- a/tests/node/lost.rs
+++ b/tests/node/lost.rs
@@ -179,3 +179,28 @@
     next.reply(status(200));
     assert_eq!(endpoint.next().http.headers["req-id"], "old");
 }
+
+/// Guards the slots and a message's time against single calls that hang at an endpoint that is well.
+#[test]
+fn a_call_that_hangs_where_others_are_answered_is_called_off_long_before_the_aim() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    for id in ["a", "b"] {
+        delivered(&node, &endpoint, id, "note", status(200));
+    }
+    hand_in(&node, "c", "note");
+    let hangs = endpoint.next();
+    let since = std::time::Instant::now();
+    let again = endpoint.next();
+    assert_eq!(again.http.headers["req-id"], "c");
+    assert!(hangs.closed.recv_timeout(PATIENCE).is_ok(), "never two at once");
+    assert!(since.elapsed() < Duration::from_secs(3), "the aim is four seconds");
+    again.reply(status(200));
+    // What must not be repeated is waited for.
+    hand_in(&node, "d", "order");
+    let waited_for = endpoint.next();
+    std::thread::sleep(Duration::from_secs(2));
+    assert!(waited_for.closed.try_recv().is_err());
+    waited_for.reply(status(200));
+    assert!(!endpoint.unseen() && platform.notices.try_recv().is_err());
+}
