--- a/crates/decision/benches/turn.rs
+++ b/crates/decision/benches/turn.rs
@@ -40,6 +40,7 @@
         report: (None, None),
         senders: 1,
         period: 5_000,
+        dormant: None,
         rules: Rules {
             answer_slack: 20_000,
             ask_every: None,
--- a/crates/decision/src/endpoints.rs
+++ b/crates/decision/src/endpoints.rs
@@ -1,11 +1,8 @@
 //! Endpoints as the list has them, by destination.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::interface::{DestinationId, EndpointId, Entry, Kind, Listing, Micros};
-
-/// What a breaker guards: a destination, or one endpoint of it where its routes are apart.
-pub(crate) type RouteId = (DestinationId, Option<EndpointId>);
+use crate::interface::{DestinationId, EndpointId, Entry, Kind, Listing, Micros, Outcome, RouteId};
 
 /// An endpoint.
 #[derive(Debug)]
@@ -16,6 +13,10 @@
     pub ready: bool,
     /// No list names it any more.
     gone: bool,
+    /// The last whole list that named it, or change since.
+    named: u64,
+    /// Calls a second that its listing promises, and when it was first listed.
+    listed: (f64, Micros),
     pub out: usize,
     pub bad_run: u32,
     /// A connection was lost or failed since the last success.
@@ -25,13 +26,37 @@
     pub gap: Micros,
 }
 
+impl Endpoint {
+    /// The outcome of an attempt there: the first that its call got, and the last that is out.
+    pub fn ended(&mut self, outcome: Outcome, first: bool, done: bool) {
+        self.out -= usize::from(done);
+        match outcome {
+            Outcome::Delivered => (self.bad_run, self.lost) = (0, false),
+            // Turned away only where it happens again: one connection is not the endpoint.
+            Outcome::Reset | Outcome::ConnectFailed if first && !self.lost => self.lost = true,
+            Outcome::Full(_) | Outcome::Spoilt | Outcome::Cancelled | Outcome::Moot { .. } => {}
+            _ => self.bad_run += u32::from(first),
+        }
+    }
+}
+
+/// The endpoints of a destination, and the listing of its common route: calls a second that it promises, and since when.
+#[derive(Debug)]
+struct Cell {
+    ids: BTreeSet<EndpointId>,
+    listed: (f64, Micros),
+}
+
 /// All that lists named and that something refers to.
 #[derive(Debug, Default)]
 pub(crate) struct Endpoints {
-    all: BTreeMap<EndpointId, Endpoint>,
+    all: HashMap<EndpointId, Endpoint>,
     /// By destination, so that no tick looks at those that nothing is held for.
-    cells: BTreeMap<DestinationId, BTreeSet<EndpointId>>,
+    cells: BTreeMap<DestinationId, Cell>,
     gone: BTreeSet<EndpointId>,
+    /// Whole lists so far, and whether the last one has been seen to its end.
+    lists: u64,
+    whole: bool,
 }
 
 impl Endpoints {
@@ -43,20 +68,22 @@
         self.all.get_mut(id)
     }
 
-    /// None is listed, until a list names it.
+    /// A whole list begins. What it has not named by the next [`Self::prune`] is gone.
     pub fn none_listed(&mut self) {
-        self.all.values_mut().for_each(|e| (e.ready, e.gone) = (false, true));
-        self.gone.extend(self.all.keys());
+        self.lists += 1;
+        self.whole = true;
     }
 
-    /// What a list says of an endpoint. Tells the route that leads to it.
-    pub fn listed(&mut self, entry: &Entry, kind: Kind) -> RouteId {
+    /// What a list says of an endpoint, with the calls a second that its weight promises. Tells the route that leads to it.
+    pub fn listed(&mut self, entry: &Entry, kind: Kind, calls: f64, now: Micros) -> RouteId {
         let endpoint = self.all.entry(entry.endpoint).or_insert(Endpoint {
             destination: entry.destination,
             zone: entry.zone,
             kind,
             ready: false,
             gone: false,
+            named: 0,
+            listed: (calls, now),
             out: 0,
             bad_run: 0,
             lost: false,
@@ -64,18 +91,25 @@
             gap: Micros::MAX,
         });
         (endpoint.ready, endpoint.gone) = (entry.listing == Listing::Ready, entry.listing == Listing::Gone);
+        endpoint.named = self.lists;
+        endpoint.listed.0 = calls;
         if endpoint.gone {
             self.gone.insert(entry.endpoint)
         } else {
             self.gone.remove(&entry.endpoint)
         };
-        self.cells.entry(endpoint.destination).or_default().insert(entry.endpoint);
+        let new = || Cell { ids: BTreeSet::new(), listed: (calls, now) };
+        let cell = self.cells.entry(endpoint.destination).or_insert_with(new);
+        cell.ids.insert(entry.endpoint);
+        if !kind.routes_apart {
+            cell.listed.0 = calls;
+        }
         (entry.destination, kind.routes_apart.then_some(entry.endpoint))
     }
 
     /// Endpoints of a destination, in any state.
     pub fn of(&self, destination: DestinationId) -> impl Iterator<Item = (EndpointId, &Endpoint)> {
-        let ids = self.cells.get(&destination).into_iter().flatten();
+        let ids = self.cells.get(&destination).into_iter().flat_map(|cell| &cell.ids);
         ids.filter_map(|id| Some((*id, self.all.get(id)?)))
     }
 
@@ -85,12 +119,27 @@
         Some((e.destination, e.kind.routes_apart.then_some(id)))
     }
 
+    /// Calls a second that the listing of a route promises, and since when it is listed.
+    pub fn listing(&self, route: RouteId) -> (f64, Micros) {
+        let listed = match route.1 {
+            Some(endpoint) => self.all.get(&endpoint).map(|e| e.listed),
+            None => self.cells.get(&route.0).map(|cell| cell.listed),
+        };
+        listed.unwrap_or_default()
+    }
+
     /// Forgets endpoints that are gone and that nothing refers to: under churn there are ever new ones. Tells which.
     pub fn prune(
         &mut self,
         referred: impl FnOnce() -> BTreeSet<EndpointId>,
     ) -> Vec<(DestinationId, EndpointId)> {
         let mut left = Vec::new();
+        if std::mem::take(&mut self.whole) {
+            for (id, e) in self.all.iter_mut().filter(|(_, e)| e.named != self.lists) {
+                (e.ready, e.gone) = (false, true);
+                self.gone.insert(*id);
+            }
+        }
         if self.gone.is_empty() {
             return left;
         }
@@ -103,8 +152,8 @@
             let destination = e.destination;
             left.push((destination, *id));
             if let Some(cell) = cells.get_mut(&destination) {
-                cell.remove(id);
-                if cell.is_empty() {
+                cell.ids.remove(id);
+                if cell.ids.is_empty() {
                     cells.remove(&destination);
                 }
             }
--- a/crates/decision/src/estimate.rs
+++ b/crates/decision/src/estimate.rs
@@ -1,8 +1,10 @@
-//! Small sums that the decisions are made from.
+//! Small sums that the decisions are made from. Nothing is decided here.
+
+use std::collections::VecDeque;
 
 use fastrand::Rng;
 
-use crate::interface::{EndpointId, MessageId, Micros};
+use crate::interface::{Class, Decay, EndpointId, MessageId, Micros, Outcome};
 
 /// A rate of events that fades with `span`, after a further event.
 pub(crate) fn faded(rate: (f64, Micros), now: Micros, span: Micros, event: f64) -> (f64, Micros) {
@@ -18,3 +20,135 @@
     let mix = |sum: u64, next: u64| (sum ^ next).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29);
     Rng::with_seed([now, u64::from(message.0), endpoint].into_iter().fold(seed, mix))
 }
+
+/// Mean time of an answer and its mean deviation.
+#[derive(Debug, Default)]
+pub(crate) struct AnswerTime(Option<(f64, f64)>);
+
+impl AnswerTime {
+    pub fn note(&mut self, took: Micros) {
+        let took = took as f64;
+        let (mean, dev) = self.0.unwrap_or((took, took / 2.0));
+        self.0 = Some((mean + (took - mean) / 8.0, dev + ((took - mean).abs() - dev) / 8.0));
+    }
+
+    /// The longest that is usual, between parts of an aim.
+    pub fn longest(&self, aim: Micros) -> Micros {
+        self.0.map_or(aim / 2, |(mean, dev)| ((mean + 5.0 * dev) as Micros).clamp(aim / 16, aim))
+    }
+}
+
+/// Calls served while all was well, over the seconds that took, both fading; and when last counted.
+#[derive(Debug, Default)]
+pub(crate) struct Served {
+    calls: f64,
+    seconds: f64,
+    at: Micros,
+}
+
+impl Served {
+    pub fn since(at: Micros) -> Self {
+        Self { at, ..Self::default() }
+    }
+
+    /// What it is after that span at a rate that is reckoned with that doubt.
+    pub fn at_rate(rate: f64, span: Micros, doubt: Micros, at: Micros) -> Self {
+        let seconds = span as f64 / 1e6;
+        Self { calls: rate * (seconds + doubt as f64 / 1e6), seconds, at }
+    }
+
+    /// One more was served; the time before counts where all was well.
+    pub fn note(&mut self, now: Micros, span: Micros, well: bool) {
+        if well {
+            let span = span.max(1) as f64 / 1e6;
+            let fade = (-((now - self.at) as f64) / 1e6 / span).exp();
+            self.calls = self.calls * fade + 1.0;
+            self.seconds = self.seconds * fade + span * (1.0 - fade);
+        }
+        self.at = now;
+    }
+
+    /// Calls a second, as if none had been served for `doubt` more.
+    pub fn rate(&self, doubt: Micros) -> f64 {
+        self.calls / (self.seconds + doubt as f64 / 1e6)
+    }
+}
+
+/// Weights of what was sent within a span.
+#[derive(Debug, Default)]
+pub(crate) struct Spent(VecDeque<(Micros, f64)>);
+
+impl Spent {
+    pub fn push(&mut self, now: Micros, weight: f64) {
+        self.0.push_back((now, weight));
+    }
+
+    /// Forgets what is older.
+    pub fn keep(&mut self, span: Micros, now: Micros) {
+        while self.0.front().is_some_and(|sent| sent.0 + span <= now) {
+            self.0.pop_front();
+        }
+    }
+
+    pub fn sum(&self) -> f64 {
+        self.0.iter().map(|sent| sent.1).sum()
+    }
+}
+
+/// A pace in calls a second, without bound at first; what it allows now, and as of when.
+#[derive(Debug)]
+pub(crate) struct Pace {
+    pub rate: f64,
+    pub credit: f64,
+    at: Micros,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { rate: f64::INFINITY, credit: 1.0, at: 0 }
+    }
+}
+
+impl Pace {
+    pub fn since(at: Micros) -> Self {
+        Self { at, ..Self::default() }
+    }
+
+    pub fn refill(&mut self, now: Micros) {
+        let gained = self.rate * (now - self.at) as f64 / 1e6;
+        let most = 1.0 + self.rate / 4.0;
+        self.credit = if self.rate.is_finite() { (self.credit + gained).min(most) } else { 1.0 };
+        self.at = now;
+    }
+
+    /// When it allows a call.
+    pub fn allows_at(&self) -> Micros {
+        self.at + ((1.0 - self.credit).max(0.0) / self.rate * 1e6).ceil() as Micros
+    }
+}
+
+/// The age from which on messages are given up by those who handed them in, as far as calls told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct GivenUpAge(pub Micros);
+
+impl GivenUpAge {
+    /// How the call of a message ended that had that age when it was sent.
+    pub fn note(&mut self, age: Micros, outcome: Outcome) {
+        match outcome {
+            Outcome::Moot { .. } => self.0 = self.0.min(age),
+            Outcome::Delivered if age > self.0 => self.0 += (age - self.0) / 8,
+            _ => {}
+        }
+    }
+}
+
+/// Part of its worth that is left to a message at that time.
+pub(crate) fn worth_left(decay: Decay, class: &Class, aim: Micros, deadline: Micros, at: Micros) -> f64 {
+    let late = at.saturating_sub(aim) as f64;
+    let span = (deadline - aim).max(1) as f64;
+    match decay {
+        _ if at >= deadline => 0.0,
+        Decay::Halves => 0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_worth),
+        Decay::Line => 1.0 - (1.0 - class.late_worth) * late / span,
+    }
+}
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -17,6 +17,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct DestinationId(pub u16);
 
+/// What a breaker guards: a destination, or one endpoint of it where its routes are apart.
+pub type RouteId = (DestinationId, Option<EndpointId>);
+
 /// Where a keyed repeat is recognised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
@@ -107,6 +110,32 @@
     Rough,
 }
 
+impl Weights {
+    /// Calls a second that a weight promises at least; 0 where it promises nothing.
+    pub(crate) fn calls(self, weight: f64) -> f64 {
+        match self {
+            Self::None => 0.0,
+            Self::Nominal => weight,
+            Self::Rough => weight / 1.5,
+        }
+    }
+}
+
+/// How destinations that nothing is sent to for long are remembered, and woken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Dormant {
+    /// A destination sleeps when nothing was sent to it for so long.
+    pub after: Micros,
+    /// What is remembered of it, its wait apart, is worth nothing after this time.
+    pub remember: Micros,
+    /// Routes that are remembered asleep at most.
+    pub most: usize,
+    /// Destinations that are awake at most; what is handed in for a further one is refused.
+    pub awake: usize,
+    /// First calls to destinations that wake, a second.
+    pub wakes: f64,
+}
+
 /// The figures of the rules.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rules {
@@ -175,6 +204,8 @@
     pub senders: usize,
     /// Shortest time between two batches of events.
     pub period: Micros,
+    /// Idle destinations sleep; without it none does.
+    pub dormant: Option<Dormant>,
     /// Rules of the users.
     pub rules: Rules,
 }
@@ -253,6 +284,11 @@
 }
 
 impl Outcome {
+    /// Whether the destination answered, with whatever.
+    pub(crate) fn answered(self) -> bool {
+        matches!(self, Self::Delivered | Self::Error | Self::Full(_) | Self::Spoilt)
+    }
+
     /// Whether the outcome proves that the attempt never took effect.
     pub fn never_ran(self) -> bool {
         matches!(self, Self::Full(_) | Self::ConnectFailed | Self::Moot { .. })
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -49,9 +49,12 @@
 #![warn(missing_docs)]
 
 mod book;
+mod calls;
 mod endpoints;
 mod estimate;
 pub mod interface;
 mod lines;
 pub mod policy;
+mod round;
+mod routes;
 mod waiting;
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -4,17 +4,21 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use dormant::Waking;
+
 use crate::book::{Book, Held};
-use crate::endpoints::{Endpoints, RouteId};
-use crate::estimate::faded;
+use crate::calls::{Calls, Ended};
+use crate::endpoints::Endpoints;
+use crate::estimate::{GivenUpAge, faded};
 use crate::interface::*;
 use crate::lines::Lines;
+use crate::routes::Routes;
 
 mod answers;
 mod dispatch;
 #[cfg(test)]
 mod oracle;
-mod route;
+pub(crate) mod route;
 mod view;
 
 use route::{FEW_SENDERS, MAX_SILENT, RESET_TIMEOUT, Route, State};
@@ -29,27 +33,17 @@
 /// From the end of a process until the next one repeats what was out, connection and all.
 const RESTART: Micros = 2_000_000;
 
-/// A call holds a slot until all its messages have their outcomes.
-struct Call {
-    route: RouteId,
-    endpoint: EndpointId,
-    sent: Micros,
-    messages: usize,
-    judged: bool,
-}
-
 /// The decisions of one sender.
 pub struct Policy {
     settings: Settings,
     rng: fastrand::Rng,
     now: Micros,
     endpoints: Endpoints,
-    routes: BTreeMap<RouteId, Route>,
+    routes: Routes,
+    /// Who of those that wake may begin.
+    waking: Waking<RouteId>,
     book: Book,
-    /// Attempts without an outcome, which may outlive their messages: their calls and ordered keys.
-    flights: BTreeMap<(MessageId, u16), (u64, Option<u64>)>,
-    calls: BTreeMap<u64, Call>,
-    next_call: u64,
+    calls: Calls,
     lines: Lines,
     seed: u64,
     /// When to ask for the list (again).
@@ -57,8 +51,7 @@
     reminder: Option<Micros>,
     /// Connections that are used no more often than this are closed after use.
     keep: Micros,
-    /// The age from which on messages were given up by those who handed them in.
-    given_up_from: Micros,
+    given_up_from: GivenUpAge,
     /// That, and which tenants were beyond their shares, when what waits for a slot was sorted.
     sorted_for: (Micros, Vec<bool>),
     /// Share of kept connections that were lost under a further call, smoothed.
@@ -75,21 +68,20 @@
     /// A sender that knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
         Self {
+            routes: Routes::new(&settings, now),
+            waking: Waking::new(settings.dormant.map(|d| d.wakes), settings.slots / 2, now),
             ask_at: settings.must_ask.then_some(now),
             tenants: vec![(0.0, now); settings.tenants.len()],
             keep: settings.idle_close,
-            given_up_from: Micros::MAX,
+            given_up_from: GivenUpAge(Micros::MAX),
             sorted_for: (Micros::MAX, vec![]),
             kept_lost: 0.0,
             settings,
             rng: fastrand::Rng::with_seed(seed),
             now,
             endpoints: Endpoints::default(),
-            routes: BTreeMap::new(),
             book: Book::default(),
-            flights: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            next_call: 0,
+            calls: Calls::default(),
             lines: Lines::default(),
             seed,
             reminder: None,
@@ -105,6 +97,7 @@
         self.shed(actions);
         self.dispatch(actions);
         self.close_idle(events, actions);
+        self.routes.doze(now, |destination| self.book.waiting.count(destination) > 0);
         self.remind(actions);
     }
 
@@ -113,7 +106,13 @@
         self.now = now;
         for event in events {
             match event {
-                Event::Accepted(message) => self.hold(message),
+                Event::Accepted(message) => {
+                    self.hold(message);
+                    match self.routes.no_room(message.destination, now) {
+                        Some(again) => self.answer(message.id, again.max(RESET_TIMEOUT), actions),
+                        None => self.routes.wake(message.destination, &self.endpoints, now),
+                    }
+                }
                 Event::Resumed { message, attempts, may_have_run } => {
                     self.resume(message, *attempts, may_have_run);
                 }
@@ -124,9 +123,9 @@
                     self.unbound = windows.map(|window| (at + RESTART + 1).saturating_sub(window)).collect();
                 }
                 Event::Wait { endpoint, wait } => {
-                    if let Some(route) =
-                        self.endpoints.route(*endpoint).and_then(|id| self.routes.get_mut(&id))
-                    {
+                    let Some(id) = self.endpoints.route(*endpoint) else { continue };
+                    self.routes.wake(id.0, &self.endpoints, now);
+                    if let Some(route) = self.routes.get_mut(&id) {
                         route.wait_until = route.wait_until.max(now + wait);
                     }
                 }
@@ -163,9 +162,9 @@
         }
         let aim = self.shortest_aim();
         let mut silent: BTreeMap<RouteId, u32> = BTreeMap::new();
-        for call in self.calls.values().filter(|call| !call.judged) {
-            if self.routes.get(&call.route).is_some_and(|route| route.silent(call.sent, aim, now)) {
-                *silent.entry(call.route).or_default() += 1;
+        for (id, sent) in self.calls.unheard() {
+            if self.routes.get(&id).is_some_and(|route| route.silent(sent, aim, now)) {
+                *silent.entry(id).or_default() += 1;
             }
         }
         for (id, count) in silent {
@@ -183,6 +182,9 @@
         for first in self.lines.rested(now) {
             self.touch(Some(first));
         }
+        for id in self.waking.turns(now, |id| self.book.waiting.count(id.0) > 0) {
+            self.book.waiting.touch(id.0);
+        }
     }
 
     /// It may be this message's turn.
@@ -200,6 +202,7 @@
     /// A message that outlived the process that took it: what may have run then still binds.
     fn resume(&mut self, message: &Message, attempts: u32, may_have_run: &[(Micros, EndpointId)]) {
         self.hold(message);
+        self.routes.wake(message.destination, &self.endpoints, self.now);
         let may_have_run = may_have_run.iter().map(|a| (0, self.now.saturating_sub(a.0), a.1)).collect();
         self.book.resumed(message.id, attempts, may_have_run);
     }
@@ -224,22 +227,13 @@
         for entry in entries {
             let plain = Kind { routes_apart: false, bundle: 1 };
             let kind = self.settings.kinds.get(entry.kind).copied().unwrap_or(plain);
-            let id = self.endpoints.listed(entry, kind);
-            let now = self.now;
-            let route = self.routes.entry(id).or_insert_with(|| Route::new(now));
-            let listed = match self.settings.weights {
-                Weights::None => 0.0,
-                Weights::Nominal => entry.weight,
-                Weights::Rough => entry.weight / 1.5,
-            };
-            // What reports told since is finer than a list that says the same as before.
-            if listed != route.listed {
-                (route.listed, route.told) = (listed, listed);
-            }
+            let listed = self.settings.weights.calls(entry.weight);
+            let id = self.endpoints.listed(entry, kind, listed, self.now);
+            self.routes.listed(id, listed, &self.endpoints, self.now);
             self.book.endpoints_changed(entry.destination);
         }
         for (destination, endpoint) in self.endpoints.prune(|| self.book.endpoints()) {
-            self.routes.remove(&(destination, Some(endpoint)));
+            self.routes.left(destination, endpoint, self.now);
             self.book.endpoints_changed(destination);
         }
     }
@@ -260,51 +254,36 @@
     }
 
     fn ended(&mut self, id: MessageId, attempt: u16, outcome: Outcome, terminal: bool) {
-        let Some(flight) = self.flights.remove(&(id, attempt)) else { return };
-        let now = self.now;
-        let sent = self.calls.get(&flight.0).map_or(now, |call| call.sent);
-        if let Some(call) = self.calls.get_mut(&flight.0) {
-            // The messages of a call share one fate, which counts once.
-            // What was not sent tells nothing of it, unless that is all there is to tell.
-            call.messages -= 1;
-            let done = call.messages == 0;
-            let first = !call.judged && (done || !matches!(outcome, Outcome::Moot { .. }));
-            call.judged |= first;
-            self.book.waiting.touch(call.route.0);
-            if let Some(route) = self.routes.get_mut(&call.route) {
-                route.out -= usize::from(done);
-                // Each message of a call may be told a wait of its own.
-                if let Outcome::Full(Some(wait)) = outcome {
-                    route.wait_until = route.wait_until.max(now + wait);
-                }
-                if first {
-                    if matches!(outcome, Outcome::Delivered | Outcome::Error | Outcome::Spoilt) {
-                        route.note_took(call.sent, now);
-                        route.answered_at = now;
-                    } else if outcome == Outcome::TimedOut {
-                        // Patience grows with it: guards a destination that becomes slow against repeats.
-                        route.note_took(call.sent, now);
-                    }
-                    route.record(&self.settings, flight.0, call.sent, outcome, now);
-                }
+        let Some(Ended { number, call, key, first, done }) = self.calls.ended(id, attempt, outcome) else {
+            return;
+        };
+        let (now, sent) = (self.now, call.sent);
+        self.book.waiting.touch(call.route.0);
+        if done {
+            self.waking.ended(number);
+        }
+        if let Some(route) = self.routes.get_mut(&call.route) {
+            route.out -= usize::from(done);
+            // Each message of a call may be told a wait of its own.
+            if let Outcome::Full(Some(wait)) = outcome {
+                route.wait_until = route.wait_until.max(now + wait);
             }
-            if let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) {
-                endpoint.out -= usize::from(done);
-                match outcome {
-                    Outcome::Delivered => (endpoint.bad_run, endpoint.lost) = (0, false),
-                    // Turned away only where it happens again: one connection is not the endpoint.
-                    Outcome::Reset | Outcome::ConnectFailed if first && !endpoint.lost => {
-                        endpoint.lost = true
-                    }
-                    Outcome::Full(_) | Outcome::Spoilt | Outcome::Cancelled | Outcome::Moot { .. } => {}
-                    _ => endpoint.bad_run += u32::from(first),
+            if first {
+                route.waking &= !outcome.answered();
+                if matches!(outcome, Outcome::Delivered | Outcome::Error | Outcome::Spoilt) {
+                    route.usual.note(now - sent);
+                    route.answered_at = now;
+                } else if outcome == Outcome::TimedOut {
+                    // Patience grows with it: guards a destination that becomes slow against repeats.
+                    route.usual.note(now - sent);
                 }
+                route.record(&self.settings, number, sent, outcome, now);
             }
-            if done {
-                self.calls.remove(&flight.0);
-            }
         }
-        if let Some(key) = flight.1 {
+        if let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) {
+            endpoint.ended(outcome, first, done);
+        }
+        if let Some(key) = key {
             let unclear = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
             let rest = unclear.then_some(now + self.settings.rules.order_pause);
             let first = self.lines.ended(key, id, attempt, rest, now);
@@ -312,21 +291,11 @@
         }
         self.book.ended(id, attempt, outcome.never_ran());
         if terminal {
-            self.note_age(id, sent, outcome);
-            self.forget(id);
-        }
-    }
-
-    /// Learns how old messages get before those who wait for them give them up, of which only a call tells.
-    fn note_age(&mut self, id: MessageId, sent: Micros, outcome: Outcome) {
-        let Some(held) = self.book.get(&id) else { return };
-        let age = sent.saturating_sub(self.taken(held));
-        match outcome {
-            Outcome::Moot { .. } => self.given_up_from = self.given_up_from.min(age),
-            Outcome::Delivered if age > self.given_up_from => {
-                self.given_up_from += (age - self.given_up_from) / 8;
+            // How old messages get before those who wait for them give them up, only a call tells.
+            if let Some(held) = self.book.get(&id) {
+                self.given_up_from.note(sent.saturating_sub(self.taken(held)), outcome);
             }
-            _ => {}
+            self.forget(id);
         }
     }
 
--- a/crates/decision/src/policy/answers.rs
+++ b/crates/decision/src/policy/answers.rs
@@ -4,6 +4,7 @@
 
 use super::Policy;
 use crate::book::Held;
+use crate::estimate::worth_left;
 use crate::interface::*;
 
 impl Policy {
@@ -67,13 +68,7 @@
     /// What a message is worth if it is delivered at that time.
     pub(super) fn worth_at(&self, held: &Held, at: Micros) -> f64 {
         let class = &self.settings.classes[held.message.class];
-        let late = at.saturating_sub(held.aim) as f64;
-        let span = (held.deadline - held.aim).max(1) as f64;
-        let left = match self.settings.decay {
-            _ if at >= held.deadline => 0.0,
-            Decay::Halves => 0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_worth),
-            Decay::Line => 1.0 - (1.0 - class.late_worth) * late / span,
-        };
+        let left = worth_left(self.settings.decay, class, held.aim, held.deadline, at);
         class.worth * left * self.within_share(held.message.tenant)
     }
 
--- a/crates/decision/src/policy/dispatch.rs
+++ b/crates/decision/src/policy/dispatch.rs
@@ -1,12 +1,10 @@
 //! The one path of every send, and when to look again.
 
-use std::collections::{BTreeMap, HashMap};
-
 use super::route::{BUNDLE_WEIGHT, State};
-use super::{Call, FEW_SENDERS, HOLD, KEPT_LOST, Policy, RESTART};
+use super::{FEW_SENDERS, HOLD, KEPT_LOST, Policy, RESTART};
 use crate::estimate::chance;
 use crate::interface::*;
-use crate::waiting::Place;
+use crate::round::{Begun, Round, Verdict};
 
 /// A ramp is looked at every so many ticks.
 const RAMP_TICKS: Micros = 1;
@@ -14,25 +12,6 @@
 /// More destinations that wait for a slot than this are a crowd.
 const CROWD: usize = 256;
 
-/// What came of trying a message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Verdict {
-    /// It is sent.
-    Sent,
-    /// It can't go now, for a reason of its own; at another endpoint it lacks nothing but a slot, or not.
-    Passed { slot: bool },
-    /// All slots are taken.
-    NoSlot,
-    /// The endpoint takes nothing more now, of whatever message.
-    Closed,
-}
-
-impl Verdict {
-    fn wants_slot(self) -> bool {
-        matches!(self, Self::NoSlot | Self::Passed { slot: true })
-    }
-}
-
 impl Policy {
     /// The one path of every send. It looks at the destinations that something happened to, or that wait for
     /// a slot alone; of each, at its messages in order, until no more can go there.
@@ -40,7 +19,7 @@
         let late = self.late_before();
         // Where less is late than before, those that wait for a slot may have a better place. A crowd of them
         // keeps what it has until something happens there.
-        let sort_for = (self.given_up_from, self.beyond());
+        let sort_for = (self.given_up_from.0, self.beyond());
         let sorted_for = std::mem::replace(&mut self.sorted_for, sort_for);
         let within = sorted_for.1.iter().zip(&self.sorted_for.1).any(|(before, now)| *before && !now);
         if self.sorted_for.0 > sorted_for.0 || within {
@@ -49,53 +28,41 @@
         for destination in self.book.waiting.take_touched() {
             self.book.waiting.set_ready(destination, self.book.waiting.next(destination, None, &late));
         }
-        // Calls begun in this tick: later messages to the same endpoint travel along.
-        let mut begun: BTreeMap<EndpointId, (u64, usize)> = BTreeMap::new();
-        // The message of each destination that was tried last and could not go, though others may.
-        let mut passed: HashMap<DestinationId, Place> = HashMap::new();
-        let mut want_slot: BTreeMap<DestinationId, bool> = BTreeMap::new();
-        // What waited for each when this tick's sends began.
-        let mut backlogs: HashMap<DestinationId, f64> = HashMap::new();
+        let mut round = Round::default();
         loop {
-            let full = self.calls.len() >= self.settings.slots;
-            let first = if full { self.first_joining(&begun) } else { self.book.waiting.first_ready() };
-            let Some((place, destination)) = first else { break };
-            let next = self.book.waiting.next(destination, passed.get(&destination).copied(), &late);
+            let (full, waiting) = (self.calls.len() >= self.settings.slots, &self.book.waiting);
+            // With no slot left a message may still travel along with a call of this tick.
+            let joining = || round.begun.first_joining(&self.endpoints, waiting);
+            let Some((place, destination)) = (if full { joining() } else { waiting.first_ready() }) else {
+                break;
+            };
+            let next = waiting.next(destination, round.after(destination), &late);
             if next != Some(place) {
                 self.book.waiting.set_ready(destination, next);
                 if next.is_none() {
-                    self.rest(destination, &mut want_slot);
+                    self.rest(destination, &round);
                 }
                 continue;
             }
-            let backlog =
-                *backlogs.entry(destination).or_insert_with(|| self.book.waiting.count(destination) as f64);
-            match self.send(place.2, destination, backlog, &mut begun, actions) {
+            match self.send(place.2, destination, &mut round, actions) {
                 Verdict::Sent => {}
-                Verdict::Passed { slot } => {
-                    passed.insert(destination, place);
-                    *want_slot.entry(destination).or_default() |= slot;
-                }
+                Verdict::Passed { slot } => round.passed(destination, place, slot),
                 Verdict::NoSlot => {
-                    want_slot.insert(destination, true);
-                    self.rest(destination, &mut want_slot);
+                    round.wants_slot(destination, true);
+                    self.rest(destination, &round);
                 }
-                Verdict::Closed => self.rest(destination, &mut want_slot),
+                Verdict::Closed => self.rest(destination, &round),
             }
         }
-        // Those that were not done with when the slots ran out begin with their first message again.
-        let again = passed.into_keys().filter(|destination| self.book.waiting.ready(*destination).is_some());
-        let again: Vec<_> =
-            again.chain(want_slot.into_iter().filter(|wants| wants.1).map(|wants| wants.0)).collect();
-        for destination in again {
+        for destination in round.unfinished(&self.book.waiting) {
             self.book.waiting.set_ready(destination, self.book.waiting.next(destination, None, &late));
         }
     }
 
     /// Nothing more goes to the destination in this tick: it is looked at when that can change by itself.
-    fn rest(&mut self, destination: DestinationId, want_slot: &mut BTreeMap<DestinationId, bool>) {
+    fn rest(&mut self, destination: DestinationId, round: &Round) {
         self.book.waiting.set_ready(destination, None);
-        if !want_slot.get(&destination).is_some_and(|wants| *wants) {
+        if !round.lacks_slot(destination) {
             self.book.waiting.look_at(destination, self.next_chance(destination));
         }
     }
@@ -104,7 +71,7 @@
     /// is late or given up: oldest first, a destination that is behind would get each message when nobody
     /// waits for it any more. It hurts those that wait longer than others.
     pub(super) fn late_before(&self) -> impl Fn(usize, usize) -> Micros + use<> {
-        let (now, given_up_from) = (self.now, self.given_up_from);
+        let (now, given_up_from) = (self.now, self.given_up_from.0);
         let aims: Vec<_> = self.settings.classes.iter().map(|class| class.aim).collect();
         let beyond = self.beyond();
         move |class, tenant| match beyond.get(tenant) {
@@ -119,25 +86,18 @@
         (0..self.tenants.len()).map(|tenant| self.within_share(tenant) < 0.5).collect()
     }
 
-    /// With no slot left: the first destination a message of which may travel along with a call of this tick.
-    fn first_joining(&self, begun: &BTreeMap<EndpointId, (u64, usize)>) -> Option<(Place, DestinationId)> {
-        let open =
-            begun.iter().filter_map(|(id, begun)| self.endpoints.get(id).filter(|e| begun.1 < e.kind.bundle));
-        open.filter_map(|e| Some((self.book.waiting.ready(e.destination)?, e.destination))).min()
-    }
-
     /// Tries a message at its destination's endpoints, the best first.
     fn send(
         &mut self,
         id: MessageId,
         destination: DestinationId,
-        backlog: f64,
-        begun: &mut BTreeMap<EndpointId, (u64, usize)>,
+        round: &mut Round,
         actions: &mut Vec<Action>,
     ) -> Verdict {
+        let backlog = round.backlog(destination, &self.book.waiting);
         let mut verdict = Verdict::Closed;
-        for endpoint in self.choices(id, destination, begun) {
-            verdict = match (self.admit(id, endpoint, backlog, begun, actions), verdict) {
+        for endpoint in self.choices(id, destination, &round.begun) {
+            verdict = match (self.admit(id, endpoint, backlog, &mut round.begun, actions), verdict) {
                 (Verdict::Sent, _) => return Verdict::Sent,
                 (Verdict::Passed { .. }, before) => Verdict::Passed { slot: before.wants_slot() },
                 (Verdict::NoSlot, Verdict::Passed { .. }) => Verdict::Passed { slot: true },
@@ -153,14 +113,14 @@
         &self,
         id: MessageId,
         destination: DestinationId,
-        begun: &BTreeMap<EndpointId, (u64, usize)>,
+        begun: &Begun,
     ) -> Vec<EndpointId> {
         let mut choices: Vec<_> = self
             .endpoints
             .of(destination)
             .filter(|(_, e)| e.ready)
             .map(|(endpoint, e)| {
-                let joins = begun.get(&endpoint).is_some_and(|b| b.1 < e.kind.bundle);
+                let joins = begun.open(endpoint, e.kind.bundle).is_some();
                 let toll = self.settings.tolls.get(e.zone as usize).copied().unwrap_or(0.0);
                 let toll = if e.kind.routes_apart { (toll * 1e6) as u64 } else { 0 };
                 let luck = chance(self.seed, self.now, id, endpoint).usize(0..256);
@@ -177,9 +137,8 @@
         let (now, rules) = (self.now, &self.settings.rules);
         let often = self.settings.period * (RAMP_TICKS + self.book.waiting.destinations() as Micros / 64);
         let chances = self.usable(destination).flat_map(|(_, r)| {
-            let credit = r.credit_at + ((1.0 - r.credit).max(0.0) / r.pace * 1e6).ceil() as Micros;
             let ramp = if r.cold_share(rules, now).is_some() { now + often } else { 0 };
-            [r.wait_until, r.breaker.due(), ramp, credit]
+            [r.wait_until, r.breaker.due(), ramp, r.pace.allows_at()]
         });
         chances.filter(|at| *at > now).min()
     }
@@ -190,7 +149,7 @@
         id: MessageId,
         endpoint_id: EndpointId,
         backlog: f64,
-        begun: &mut BTreeMap<EndpointId, (u64, usize)>,
+        begun: &mut Begun,
         actions: &mut Vec<Action>,
     ) -> Verdict {
         let now = self.now;
@@ -199,6 +158,7 @@
             return Verdict::Closed;
         };
         let class = &self.settings.classes[held.message.class];
+        let worth = self.worth_at(held, now) * backlog;
         // No message lost, nothing after its end; drains kept; never two attempts at once.
         if now >= held.end || held.attempts >= self.settings.try_limit || held.out > 0 {
             return Verdict::Passed { slot: false };
@@ -228,9 +188,9 @@
         if now.saturating_add(route.patience(class.aim)) > until {
             return Verdict::Passed { slot: false };
         }
-        let joined = begun.get(&endpoint_id).copied().filter(|b| b.1 < endpoint.kind.bundle);
-        route.refill(now);
-        if joined.is_none() && route.credit < 1.0 {
+        let joined = begun.open(endpoint_id, endpoint.kind.bundle);
+        route.pace.refill(now);
+        if joined.is_none() && route.pace.credit < 1.0 {
             return Verdict::Closed;
         }
         // Waits heeded; our own pauses, and one call at a time until a refusing destination accepts.
@@ -255,26 +215,32 @@
         } else if route.breaker.state != State::Closed {
             return Verdict::Closed;
         }
+        // Those that wake begin with one call each, so many a second, the fullest worth first. Guards
+        // descriptors, slots and the busy against a crowd. One that wakes with much to send loses a call's
+        // time by it.
+        if joined.is_none() && route.waking && (route.out > 0 || !self.waking.allows(route_id, worth, now)) {
+            return Verdict::Closed;
+        }
         // The breaker decides last, since it counts what it admits.
         if joined.is_none() && !route.breaker.allows(now) {
             return Verdict::Closed;
         }
-        let call = joined.map_or(self.next_call, |b| b.0);
+        let call = joined.unwrap_or(self.calls.next());
         let well = route.fulls == 0 && route.cold_share(&self.settings.rules, now).is_none();
         let patience = if well { (2 * route.patience(class.aim)).min(class.aim) } else { class.aim };
-        route.sent.push_back((now, weight));
+        route.sent.push(now, weight);
         if joined.is_none() {
-            self.next_call += 1;
             route.out += 1;
-            route.credit -= 1.0;
+            route.pace.credit -= 1.0;
             if route.breaker.state == State::HalfOpen {
                 route.breaker.trial = Some(call);
             }
-            let new = Call { route: route_id, endpoint: endpoint_id, sent: now, messages: 0, judged: false };
-            self.calls.insert(call, new);
+            if route.waking {
+                self.waking.begun(call);
+            }
+            self.calls.begin(route_id, endpoint_id, now);
         }
-        begun.insert(endpoint_id, (call, joined.map_or(1, |b| b.1 + 1)));
-        self.calls.entry(call).and_modify(|call| call.messages += 1);
+        begun.note(endpoint_id, call);
         if let (true, Some(e)) = (joined.is_none(), self.endpoints.get_mut(&endpoint_id)) {
             e.out += 1;
             (e.gap, e.sent_at) = (now - e.sent_at, now);
@@ -284,7 +250,7 @@
             if let Some(key) = key {
                 self.lines.begun(key, id, attempt);
             }
-            self.flights.insert((id, attempt), (call, key));
+            self.calls.carry(call, id, attempt, key);
             // What may be repeated is called off once its answer would be most unusual. Guards the slots, and
             // the message's time, against calls that hang or lose their answers one by one. It costs repeats
             // where answer times jump; a destination that is cold or turns calls away gets the aim's time.
@@ -320,10 +286,15 @@
     pub(super) fn remind(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         let aim = self.shortest_aim();
-        let silent = self.calls.values().filter(|call| !call.judged);
-        let silent = silent.filter_map(|c| Some(c.sent + self.routes.get(&c.route)?.patience(aim)));
+        let silent = self.calls.unheard();
+        let silent = silent.filter_map(|(id, sent)| Some(sent + self.routes.get(&id)?.patience(aim)));
         let due = [self.book.next_due(), self.lines.next_due(), self.ask_at, self.unbound.first().copied()];
-        let all = due.into_iter().flatten().chain(silent);
+        let all = due
+            .into_iter()
+            .flatten()
+            .chain(self.routes.next_due(now + self.settings.period))
+            .chain(self.waking.next_due())
+            .chain(silent);
         let Some(next) = all.filter(|at| *at > now).min() else { return };
         if self.reminder.is_none_or(|at| at <= now || next < at) {
             self.reminder = Some(next);
--- a/crates/decision/src/policy/oracle.rs
+++ b/crates/decision/src/policy/oracle.rs
@@ -10,9 +10,9 @@
 use std::collections::BTreeMap;
 
 use super::Policy;
-use super::dispatch::Verdict;
 use crate::book::Held;
 use crate::interface::*;
+use crate::round::{Begun, Verdict};
 
 impl Policy {
     fn handle_all(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
@@ -69,7 +69,7 @@
     fn dispatch_all(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         let late = |held: &Held| {
-            let given_up = self.taken(held).saturating_add(self.given_up_from);
+            let given_up = self.taken(held).saturating_add(self.given_up_from.0);
             now > held.aim.min(given_up) || self.within_share(held.message.tenant) < 0.5
         };
         let waiting = self.book.iter().filter(|(_, held)| held.out == 0);
@@ -79,7 +79,7 @@
         for (_, _, id) in &queue {
             *backlog.entry(self.book.get(id).unwrap().message.destination).or_default() += 1.0;
         }
-        let mut begun = BTreeMap::new();
+        let mut begun = Begun::default();
         for (_, _, id) in queue {
             let destination = self.book.get(&id).unwrap().message.destination;
             for endpoint in self.choices(id, destination, &begun) {
@@ -134,6 +134,7 @@
         report: (Some(0), Some(1)),
         senders: rng.usize(1..4),
         period: 5_000,
+        dormant: None,
         rules: Rules {
             answer_slack: 20_000,
             ask_every: None,
--- a/crates/decision/src/policy/view.rs
+++ b/crates/decision/src/policy/view.rs
@@ -13,6 +13,11 @@
         open
     }
 
+    /// Destinations that are awake, and routes that are remembered asleep.
+    pub fn awake_and_asleep(&self) -> (usize, usize) {
+        self.routes.awake_and_asleep()
+    }
+
     /// Messages that are held.
     pub fn held(&self) -> usize {
         self.book.len()
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -55,6 +55,7 @@
         report: (Some(0), Some(1)),
         senders: 1,
         period: 5_000,
+        dormant: None,
         rules: Rules {
             answer_slack: 20_000,
             ask_every: Some(10 * SECOND),
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -13,6 +13,9 @@
 /// Status lines are this far apart at least.
 const SHORTEST_STATUS: Span = Span { micros: 100_000 };
 
+/// Destinations are awake for so long at least.
+const SHORTEST_SLEEP: Span = Span { micros: 1_000_000 };
+
 /// All that the file can say. What it leaves out is as on the platform: off.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -21,6 +24,25 @@
     pub journal: JournalTable,
     /// `[status]`
     pub status: StatusTable,
+    /// `[dormant]`
+    pub dormant: DormantTable,
+}
+
+/// `[dormant]`: what becomes of destinations that nothing is sent to for long. Without `after` none sleeps, and nothing
+/// else may stand here.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct DormantTable {
+    /// `after`: a destination sleeps when nothing was sent to it for so long, from a second on.
+    pub after: Option<Span>,
+    /// `remember`: what is remembered of it, its wait apart, is worth nothing after this time.
+    pub remember: Option<Span>,
+    /// `memory`: room for what is remembered.
+    pub memory: Option<Size>,
+    /// `awake`: destinations that are awake at most.
+    pub awake: Option<u32>,
+    /// `wakes`: destinations a second that may be called for the first time, from 1 on.
+    pub wakes: Option<u32>,
 }
 
 /// `[status]`: a line in the log at intervals, with what is held and which breakers are open.
@@ -197,6 +219,29 @@
             (Some(Span { micros: 0 }), _) => Some(("retain", "ends that are kept for no time are not kept")),
             _ => None,
         };
+        let dormant = &read.dormant;
+        let sleeps = dormant.after.is_some_and(|after| after >= SHORTEST_SLEEP);
+        let beside = beside.or(match dormant {
+            DormantTable { after: Some(_), .. } if !sleeps => {
+                Some(("after", "who sleeps after less than a second is asleep between two messages"))
+            }
+            DormantTable { after: None, remember, memory, awake, wakes } => [
+                remember.map(|_| "remember"),
+                memory.map(|_| "memory"),
+                awake.map(|_| "awake"),
+                wakes.map(|_| "wakes"),
+            ]
+            .into_iter()
+            .flatten()
+            .next()
+            .map(|name| (name, "without after no destination sleeps, and this says nothing")),
+            DormantTable { awake: Some(0), .. } => Some(("awake", "with none awake nothing can be sent")),
+            DormantTable { wakes: Some(0), .. } => Some(("wakes", "with none woken nothing can be sent")),
+            DormantTable { remember: Some(span), after: Some(after), .. } if span < after => {
+                Some(("remember", "what is remembered for less than after is forgotten before it sleeps"))
+            }
+            _ => None,
+        });
         if let Some((name, reason)) = beside {
             return Err(Problem { line: line_of(name), reason: reason.to_owned() });
         }
@@ -223,7 +268,11 @@
     fn what_is_wrong_is_told_with_its_line_and_reason() {
         for (text, line, reason) in [
             ("[journal]\n\nsnc = \"none\"\n", "3: ", "unknown field `snc`, expected"),
-            ("# one\n[jurnal]\n", "2: ", "unknown field `jurnal`, expected `journal` or `status`"),
+            (
+                "# one\n[jurnal]\n",
+                "2: ",
+                "unknown field `jurnal`, expected one of `journal`, `status`, `dormant`",
+            ),
             ("[journal]\nsync = \"always\"\n", "2: ", "unknown variant `always`, expected `none` or `group`"),
             ("[status]\n\nevery = \"5ms\"\n", "3: ", "every 100ms"),
             ("[status]\nevery = 5\n", "2: ", "needs a unit"),
@@ -233,6 +282,11 @@
             ("[journal]\nledger = \"1MB\"\n", "2: ", "without retain"),
             ("[journal]\nledger = \"1MB\"\nretain = \"0s\"\n", "3: ", "no time"),
             ("[journal]\nledger = 1000000\nretain = \"1h\"\n", "2: ", "a size needs a unit"),
+            ("[dormant]\nafter = \"10ms\"\n", "2: ", "less than a second"),
+            ("[dormant]\n\nwakes = 10\n", "3: ", "without after"),
+            ("[dormant]\nafter = \"10m\"\nawake = 0\n", "3: ", "none awake"),
+            ("[dormant]\nafter = \"10m\"\nwakes = 0\n", "3: ", "none woken"),
+            ("[dormant]\nremember = \"5m\"\nafter = \"10m\"\n", "2: ", "before it sleeps"),
             ("[journal]\nsync = \n", "2: ", ""),
             ("[journal]\nsync = \"none\"\nsync = \"none\"\n", "3: ", "duplicate key"),
         ] {
--- /dev/null
+++ b/crates/rig/src/idle.rs
@@ -0,0 +1,276 @@
+//! Many destinations with little traffic each, by a heavy-tailed law, and a wave that wakes many at once.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use standins::{Client, Crowd, Node, Notices, Platform, Saw, Way, handing_in_with, listing, wait_until};
+
+use crate::scenario::{Options, Scenario, program};
+
+/// The scenario.
+pub const SCENARIO: Scenario = Scenario {
+    name: "idle",
+    about: "twenty thousand destinations that sleep most of the time, and a thousand that wake at once",
+    run,
+};
+
+/// A destination sleeps after this time without a message.
+const AFTER: Duration = Duration::from_secs(2);
+/// The busiest destinations, whose times are compared.
+const BUSY: u16 = 10;
+/// Messages a second, and the clients that hand them in.
+const RATE: u32 = 400;
+const CLIENTS: u32 = 8;
+const BODY: usize = 330;
+const WITHIN_MS: u32 = 20_000;
+/// What the sender may take of memory; and the aim.
+const MEMORY_KB: u64 = 200_000;
+const MEMORY_AIM_KB: u64 = 60_000;
+/// How much longer the busy ones' messages may take while the wave passes.
+const SLOWER: f64 = 1.10;
+
+/// What a run came to.
+struct Figures {
+    memory_kb: u64,
+    taken: usize,
+    refused: usize,
+    asleep: usize,
+    p99: Duration,
+    woken: Duration,
+    connections: usize,
+}
+
+/// Messages that were taken on, and how many were not.
+#[derive(Default)]
+struct Heard {
+    taken: HashSet<String>,
+    refused: usize,
+    nothing: usize,
+}
+
+fn hand_in(crowd: &Crowd, client: &mut Client, destination: u16, n: &str, heard: &Mutex<Heard>) {
+    let id = crowd.id(destination, n);
+    client.say(&handing_in_with(&id, "note", destination, WITHIN_MS, &[b'x'; BODY]));
+    let status = client.answer().map(|answer| answer.status());
+    let mut heard = heard.lock().unwrap();
+    match status {
+        Some(202) => drop(heard.taken.insert(id)),
+        Some(_) => heard.refused += 1,
+        None => heard.nothing += 1,
+    }
+}
+
+/// A destination's number is its rank: the weight of a rank is one over it.
+struct Law(Vec<f64>);
+
+impl Law {
+    fn new(count: u16) -> Self {
+        let mut sum = 0.0;
+        Self(
+            (1..=count)
+                .map(|rank| {
+                    sum += 1.0 / f64::from(rank);
+                    sum
+                })
+                .collect(),
+        )
+    }
+
+    fn draw(&self, rng: &mut fastrand::Rng) -> u16 {
+        let at = rng.f64() * self.0.last().copied().unwrap_or(1.0);
+        (self.0.partition_point(|sum| *sum < at)).min(self.0.len() - 1) as u16
+    }
+}
+
+/// The wave's destinations, of those that have next to no traffic; some are full, silent or close.
+fn wave(crowd: &Crowd, rng: &mut fastrand::Rng, count: u16, size: usize) -> Vec<u16> {
+    let mut wave: Vec<u16> = (count / 4..count).collect();
+    rng.shuffle(&mut wave);
+    wave.truncate(size);
+    for (n, destination) in wave.iter().enumerate() {
+        let way = match n % 50 {
+            0..10 => Way::Waits(Duration::from_millis(rng.u64(500..4_000))),
+            10 => Way::Silent,
+            11 => Way::Closes,
+            _ => Way::Well,
+        };
+        crowd.set(*destination, way);
+    }
+    wave
+}
+
+fn play(seed: u64, count: u16, size: usize, time: Duration) -> Result<Figures, String> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let crowd = Crowd::new(count, 500.min(count), 3 * AFTER, BUSY);
+    let mut platform = Platform::new();
+    let notices = Notices::keep(&mut platform);
+    let endpoints: Vec<_> =
+        (0..count).map(|d| listing(&format!("e{d}"), d, "plain", crowd.address(d))).collect();
+    let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
+    let operators = folder.path().join("operators.toml");
+    let text = format!("[status]\nevery = \"100ms\"\n[dormant]\nafter = \"{}s\"\n", AFTER.as_secs());
+    std::fs::write(&operators, text).map_err(|e| e.to_string())?;
+    let node = Node::start(&program().arg("--operators").arg(&operators), &platform, &endpoints, |config| {
+        config["limits"]["disk_mb"] = json!(200);
+        config["settings"]["family_info"]["calls_out"] = json!(128);
+        config["settings"]["limits"]["max_open"] = json!(8_000);
+    });
+    drop(endpoints);
+    // Some of those that are called now and then tell waits.
+    for destination in (50..count / 4).step_by(7) {
+        crowd.set(destination, Way::Waits(Duration::from_millis(rng.u64(500..4_000))));
+    }
+    let (law, heard, stop) = (Law::new(count), Mutex::new(Heard::default()), AtomicBool::new(false));
+    let field = |name: &str| -> usize {
+        let log = node.log();
+        let line = log.iter().rev().find(|line| line.starts_with("status ")).cloned().unwrap_or_default();
+        let at = line.split(name).nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+        at.unwrap_or_default()
+    };
+    let mut memory_kb = 0;
+    let (asleep, from, woken) = std::thread::scope(|scope| {
+        for client in 0..CLIENTS {
+            let mut rng = rng.fork();
+            let (crowd, law, heard, stop, address) = (&crowd, &law, &heard, &stop, node.address);
+            scope.spawn(move || steady(crowd, law, heard, stop, address, client, &mut rng));
+        }
+        std::thread::sleep(time / 2);
+        let (asleep, from, begun) = (field("asleep="), crowd.now(), Instant::now());
+        memory_kb = node.memory_kb().max(memory_kb);
+        let wave = wave(&crowd, &mut rng, count, size);
+        // Each of them gets three messages, as fast as they are taken on.
+        let told: Vec<_> = wave.iter().copied().cycle().take(3 * wave.len()).collect();
+        for (part, some) in told.chunks(told.len().div_ceil(CLIENTS as usize).max(1)).enumerate() {
+            let (some, crowd, heard, address) = (some.to_vec(), &crowd, &heard, node.address);
+            scope.spawn(move || {
+                let Ok(mut client) = Client::connect(address, Duration::from_secs(5)) else { return };
+                for (n, destination) in some.iter().enumerate() {
+                    hand_in(crowd, &mut client, *destination, &format!("w{part}.{n}"), heard);
+                }
+            });
+        }
+        while begun.elapsed() < time / 2 {
+            std::thread::sleep(Duration::from_millis(100));
+            memory_kb = node.memory_kb().max(memory_kb);
+        }
+        stop.store(true, Ordering::Relaxed);
+        // Those that are well have all of their messages.
+        let well: HashSet<u16> =
+            wave.iter().enumerate().filter(|(n, _)| n % 50 >= 12).map(|(_, d)| *d).collect();
+        let woken = wave_done(&crowd, &well, begun);
+        (asleep, from, woken)
+    });
+    let heard = heard.into_inner().unwrap();
+    // Each has its end when its time is up, and its notice soon after that.
+    let until = Instant::now() + Duration::from_millis(u64::from(WITHIN_MS) + 2_000);
+    let missing = |saw: &Saw, told: &HashMap<String, Vec<String>>| {
+        let answered: HashSet<&String> = saw.answered.iter().collect();
+        heard.taken.iter().filter(|id| !answered.contains(id) && !told.contains_key(*id)).count()
+    };
+    while missing(&crowd.saw(), &notices.all()) > 0 && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let saw = crowd.saw();
+    let lost = missing(&saw, &notices.all());
+    if lost > 0 || heard.nothing > 0 || heard.taken.is_empty() {
+        return Err(format!(
+            "{lost} of {} without an end, {} without an answer",
+            heard.taken.len(),
+            heard.nothing
+        ));
+    }
+    if !saw.early.is_empty() || !saw.pushed.is_empty() {
+        let some = |list: &[u16]| format!("{:?}", &list[..list.len().min(5)]);
+        return Err(format!(
+            "{} calls before a wait was over ({}), {} beside the first one ({})",
+            saw.early.len(),
+            some(&saw.early),
+            saw.pushed.len(),
+            some(&saw.pushed)
+        ));
+    }
+    let mut times: Vec<_> = saw.times.iter().filter(|t| t.1 >= from).map(|t| t.2).collect();
+    times.sort_unstable();
+    let p99 = times.get(times.len() * 99 / 100).copied().unwrap_or_default();
+    let (taken, refused, connections) = (heard.taken.len(), heard.refused, saw.connections.0);
+    Ok(Figures { memory_kb, taken, refused, asleep, p99, woken, connections })
+}
+
+/// One client hands messages in at its part of the rate, on one connection.
+fn steady(
+    crowd: &Crowd,
+    law: &Law,
+    heard: &Mutex<Heard>,
+    stop: &AtomicBool,
+    address: SocketAddr,
+    number: u32,
+    rng: &mut fastrand::Rng,
+) {
+    let Ok(mut client) = Client::connect(address, Duration::from_secs(5)) else { return };
+    let period = Duration::from_secs(1) * CLIENTS / RATE;
+    let mut due = Instant::now();
+    for n in 0u64.. {
+        std::thread::sleep(due.saturating_duration_since(Instant::now()));
+        due = (due + period).max(Instant::now());
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        hand_in(crowd, &mut client, law.draw(rng), &format!("s{number}.{n}"), heard);
+    }
+}
+
+/// How long it took until each of these had answered a message of the wave.
+fn wave_done(crowd: &Crowd, well: &HashSet<u16>, begun: Instant) -> Duration {
+    let mut done = Duration::ZERO;
+    wait_until(|| {
+        done = begun.elapsed();
+        let saw = crowd.saw();
+        let of = |id: &String| id.strip_prefix('d')?.split("-w").next()?.parse::<u16>().ok();
+        let waves = saw.answered.iter().filter(|id| id.contains("-w"));
+        let answered: HashSet<u16> = waves.filter_map(of).collect();
+        std::thread::sleep(Duration::from_millis(50));
+        well.iter().all(|destination| answered.contains(destination))
+    });
+    done
+}
+
+fn run(options: &Options) -> Result<String, String> {
+    let count = options.destinations.unwrap_or(if options.short { 1_000 } else { 20_000 }).max(100);
+    let size = usize::from(count / 20).max(10);
+    let time = Duration::from_secs(if options.short { 6 } else { 30 });
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    println!(
+        "{cores} cores, {count} destinations, {RATE} messages a second, a wave of {size} with 3 messages each"
+    );
+    let calm = if options.short { None } else { Some(play(options.seed(), count, 0, time)?) };
+    let rough = play(options.seed(), count, size, time)?;
+    for (name, f) in calm.iter().map(|calm| ("calm", calm)).chain([("wave", &rough)]) {
+        println!(
+            "{name}: {} taken on, {} refused, {} asleep before the wave, {} connections at most, memory {} kB, \
+             busy ones' p99 {:?}, all well ones awake after {:?}",
+            f.taken, f.refused, f.asleep, f.connections, f.memory_kb, f.p99, f.woken
+        );
+    }
+    if rough.asleep == 0 {
+        return Err("none slept: nothing was shown".into());
+    }
+    if rough.memory_kb > MEMORY_KB {
+        return Err(format!("the sender took {} kB", rough.memory_kb));
+    }
+    let ratio = calm.map(|calm| rough.p99.as_secs_f64() / calm.p99.as_secs_f64().max(1e-6));
+    if let Some(ratio) = ratio.filter(|ratio| *ratio > SLOWER) {
+        return Err(format!("the busy ones' p99 is {ratio:.2} times what it is without the wave"));
+    }
+    let aim = if rough.memory_kb <= MEMORY_AIM_KB { "within" } else { "over" };
+    let ratio = ratio
+        .map_or_else(String::new, |ratio| format!(", the busy ones' p99 {ratio:.2} times the calm run's"));
+    Ok(format!(
+        "no call before a wait was over, none beside a first one, none lost; memory {} kB, {aim} the aim of \
+         {MEMORY_AIM_KB}{ratio}",
+        rough.memory_kb
+    ))
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 
 mod compaction_kills;
 mod demo;
+mod idle;
 mod journal_bench;
 mod proxy;
 mod scenario;
@@ -15,8 +16,13 @@
 use clap::Parser;
 use scenario::{Options, Scenario};
 
-const SCENARIOS: &[Scenario] =
-    &[demo::SCENARIO, journal_bench::SCENARIO, compaction_kills::SCENARIO, throughput::SCENARIO];
+const SCENARIOS: &[Scenario] = &[
+    demo::SCENARIO,
+    idle::SCENARIO,
+    journal_bench::SCENARIO,
+    compaction_kills::SCENARIO,
+    throughput::SCENARIO,
+];
 
 /// Runs a measurement or a fault run by its name; `list` names them all.
 #[derive(Parser)]
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -21,6 +21,9 @@
     /// How many points a fault run has.
     #[arg(long)]
     pub points: Option<usize>,
+    /// How many destinations there are.
+    #[arg(long)]
+    pub destinations: Option<u16>,
     #[arg(skip)]
     drawn: OnceLock<u64>,
 }
--- a/crates/rig/tests/short.rs
+++ b/crates/rig/tests/short.rs
@@ -40,3 +40,9 @@
     let last = last_line(&["throughput", "--short"]);
     assert!(last.starts_with("held: "), "{last}");
 }
+
+#[test]
+fn sleepers_wake_within_their_waits_and_one_call_first() {
+    let last = last_line(&["idle", "--short"]);
+    assert!(last.starts_with("held: "), "{last}");
+}
--- a/crates/sender/src/directory.rs
+++ b/crates/sender/src/directory.rs
@@ -1,24 +1,32 @@
 //! Endpoints by the names that the list gives them: ids for the module, and who makes calls to each.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use decision::interface::*;
 
 use crate::config::Names;
-use crate::platform::ListBody;
+use crate::platform::{ListBody, Listing as Listed};
 use crate::ports::Carrier;
 
+/// Entries of a long list that are taken in in one turn: bounds the pause that a list makes.
+pub const SLICE: usize = 1_000;
+/// Entries that wait for their turn at most: over twice what there can be of destinations.
+const WAITING_LIMIT: usize = 200_000;
+
 /// An endpoint as the list has it.
 struct Known {
     name: Arc<str>,
     group: u16,
+    kind: usize,
     /// Who makes calls to it; none where its address can't be read.
     carrier: Option<Rc<dyn Carrier>>,
     bundle: usize,
     /// No list names it any more.
     gone: bool,
+    /// The last whole list that named it, or change since.
+    named: u64,
 }
 
 /// The list as it is known here.
@@ -32,13 +40,39 @@
     given: u64,
     /// Destinations that a list has named.
     destinations: BTreeSet<u16>,
+    /// Endpoints that are gone and not forgotten yet, and names that attempts alone refer to.
+    gone: BTreeSet<EndpointId>,
+    strays: BTreeSet<String>,
+    /// Whole lists so far; the last one may not be at its end yet.
+    lists: u64,
+    whole: bool,
+    /// What waits to be taken in, and endpoints of which it is to be said that they are gone.
+    waiting: VecDeque<Listed>,
+    going: Vec<EndpointId>,
 }
 
+/// More entries wait than are kept: the whole list must be asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TooMany;
+
 impl Directory {
     /// Nothing is known yet. The first carrier that can read an endpoint's address makes the calls to it.
     pub fn new(names: Names, kinds: Vec<Kind>, carriers: Vec<Rc<dyn Carrier>>) -> Self {
-        let (endpoints, ids, destinations) = (HashMap::new(), HashMap::new(), BTreeSet::new());
-        Self { names, kinds, carriers, endpoints, ids, given: 0, destinations }
+        Self {
+            names,
+            kinds,
+            carriers,
+            endpoints: HashMap::new(),
+            ids: HashMap::new(),
+            given: 0,
+            destinations: BTreeSet::new(),
+            gone: BTreeSet::new(),
+            strays: BTreeSet::new(),
+            lists: 0,
+            whole: false,
+            waiting: VecDeque::new(),
+            going: Vec::new(),
+        }
     }
 
     /// Whether a list has named the destination.
@@ -71,8 +105,13 @@
         self.endpoints.get(&endpoint)?.carrier.as_ref()
     }
 
-    /// The id of an endpoint's name; a name that no list has named yet gets one too.
-    pub fn id_of(&mut self, name: &str) -> EndpointId {
+    /// The id of the endpoint that an attempt went to, which no list need have named.
+    pub fn id_of_attempt(&mut self, name: &str) -> EndpointId {
+        self.strays.insert(name.to_owned());
+        self.id_of(name)
+    }
+
+    fn id_of(&mut self, name: &str) -> EndpointId {
         if let Some(id) = self.ids.get(name) {
             return *id;
         }
@@ -83,67 +122,169 @@
         EndpointId(bytes)
     }
 
-    /// Takes in the list or changes of it. Endpoints that are gone are forgotten, their connections and their names,
-    /// unless one of these attempts refers to one: under churn there are ever new ones.
-    pub fn listed<'a>(&mut self, list: ListBody, attempts: impl Iterator<Item = &'a str>) -> Event {
+    /// Takes in the list or changes of it, at once. Endpoints that are gone are forgotten, their connections and their
+    /// names, unless one of these attempts refers to one: under churn there are ever new ones.
+    pub fn listed<'a, I: Iterator<Item = &'a str>>(
+        &mut self,
+        list: ListBody,
+        attempts: impl FnOnce() -> I,
+    ) -> Event {
         let mut entries = Vec::with_capacity(list.endpoints.len());
-        if list.snapshot {
-            self.endpoints.values_mut().for_each(|known| known.gone = true);
+        self.lists += u64::from(list.snapshot);
+        for listed in list.endpoints {
+            self.take_in(listed, &mut entries);
         }
-        for listing in list.endpoints {
-            let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
-            let zone = position(&self.names.zones, &listing.zone).map_or(u16::MAX, |zone| zone as u16);
-            let kind = position(&self.names.kinds, &listing.kind).unwrap_or(usize::MAX);
-            let mut endpoint = self.id_of(&listing.name);
-            let before = self.endpoints.get(&endpoint).filter(|known| known.group != listing.group);
-            let mut entry = |endpoint, group, listing| {
-                let destination = DestinationId(group);
-                entries.push(Entry { endpoint, destination, zone, kind, weight: 0.0, listing });
-            };
-            if let Some(group) = before.map(|known| known.group) {
-                // Guards against a name that moves to another destination: it is another endpoint there.
-                entry(endpoint, group, Listing::Gone);
-                if let Some(known) = self.endpoints.get_mut(&endpoint) {
-                    known.gone = true;
-                }
-                self.ids.remove(&listing.name);
-                endpoint = self.id_of(&listing.name);
+        if list.snapshot {
+            self.find_going();
+            for id in std::mem::take(&mut self.going) {
+                self.goes(id);
             }
-            let state = match listing.status.as_str() {
-                "active" => Listing::Ready,
-                "left" => Listing::Gone,
-                _ => Listing::Draining,
-            };
-            entry(endpoint, listing.group, state);
-            self.destinations.insert(listing.group);
-            if let (Some(entry), true) = (entries.last_mut(), listing.weight.is_finite()) {
-                entry.weight = listing.weight.max(0.0);
+        }
+        self.prune(attempts);
+        if list.snapshot { Event::List(entries) } else { Event::Changes(entries) }
+    }
+
+    /// Keeps a long list to be taken in bit by bit; a whole one makes up for all that waits.
+    ///
+    /// # Errors
+    /// Fails when too much waits; then nothing does any more, and the whole list must be had.
+    pub fn put_off(&mut self, list: ListBody) -> Result<(), TooMany> {
+        if list.snapshot {
+            self.waiting.clear();
+            self.going.clear();
+            self.lists += 1;
+            self.whole = true;
+        }
+        self.waiting.extend(list.endpoints);
+        if self.waiting.len() > WAITING_LIMIT {
+            self.waiting.clear();
+            self.whole = false;
+            return Err(TooMany);
+        }
+        Ok(())
+    }
+
+    /// Whether something waits to be taken in.
+    pub fn is_behind(&self) -> bool {
+        self.whole || !self.waiting.is_empty() || !self.going.is_empty()
+    }
+
+    /// The next bit of what waits, as changes. What a whole list did not name is gone once it is at its end.
+    pub fn slice<'a, I: Iterator<Item = &'a str>>(&mut self, attempts: impl FnOnce() -> I) -> Event {
+        let mut entries = Vec::new();
+        for _ in 0..SLICE {
+            if let Some(listed) = self.waiting.pop_front() {
+                self.take_in(listed, &mut entries);
+            } else if std::mem::take(&mut self.whole) {
+                self.find_going();
+            } else if let Some(id) = self.going.pop() {
+                entries.extend(self.goes(id));
+            } else {
+                break;
             }
-            let bundle = self.kinds.get(kind).map_or(1, |kind| kind.bundle);
-            let gone = state == Listing::Gone;
-            let carrier =
-                self.carriers.iter().find(|carrier| carrier.place(endpoint, &listing.address)).cloned();
-            let keeps = |other: &&Rc<dyn Carrier>| carrier.as_ref().is_some_and(|c| Rc::ptr_eq(c, other));
-            // Who made calls to it at the address that it had has no more to do with it.
-            self.carriers.iter().filter(|other| !keeps(other)).for_each(|other| other.forget(endpoint));
-            if let (Some(carrier), true) = (&carrier, state != Listing::Ready) {
-                carrier.close_idle(endpoint);
+        }
+        self.prune(attempts);
+        Event::Changes(entries)
+    }
+
+    /// What the last whole list did not name, nor a change since.
+    fn find_going(&mut self) {
+        let going = self.endpoints.iter().filter(|(_, known)| !known.gone && known.named != self.lists);
+        self.going = going.map(|(id, _)| *id).collect();
+    }
+
+    /// No list names it any more.
+    fn goes(&mut self, endpoint: EndpointId) -> Option<Entry> {
+        let known = self.endpoints.get_mut(&endpoint).filter(|known| known.named != self.lists)?;
+        known.gone = true;
+        self.gone.insert(endpoint);
+        let destination = DestinationId(known.group);
+        Some(Entry {
+            endpoint,
+            destination,
+            zone: u16::MAX,
+            kind: known.kind,
+            weight: 0.0,
+            listing: Listing::Gone,
+        })
+    }
+
+    fn take_in(&mut self, listing: Listed, entries: &mut Vec<Entry>) {
+        let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let zone = position(&self.names.zones, &listing.zone).map_or(u16::MAX, |zone| zone as u16);
+        let kind = position(&self.names.kinds, &listing.kind).unwrap_or(usize::MAX);
+        let mut endpoint = self.id_of(&listing.name);
+        let before = self.endpoints.get(&endpoint).filter(|known| known.group != listing.group);
+        let mut entry = |endpoint, group, listing| {
+            let destination = DestinationId(group);
+            entries.push(Entry { endpoint, destination, zone, kind, weight: 0.0, listing });
+        };
+        if let Some(group) = before.map(|known| known.group) {
+            // Guards against a name that moves to another destination: it is another endpoint there.
+            entry(endpoint, group, Listing::Gone);
+            if let Some(known) = self.endpoints.get_mut(&endpoint) {
+                known.gone = true;
+                self.gone.insert(endpoint);
             }
-            let known = Known { name: listing.name.into(), group: listing.group, carrier, bundle, gone };
-            self.endpoints.insert(endpoint, known);
+            self.ids.remove(&listing.name);
+            endpoint = self.id_of(&listing.name);
         }
-        self.prune(&attempts.collect());
-        if list.snapshot { Event::List(entries) } else { Event::Changes(entries) }
+        let state = match listing.status.as_str() {
+            "active" => Listing::Ready,
+            "left" => Listing::Gone,
+            _ => Listing::Draining,
+        };
+        entry(endpoint, listing.group, state);
+        self.destinations.insert(listing.group);
+        if let (Some(entry), true) = (entries.last_mut(), listing.weight.is_finite()) {
+            entry.weight = listing.weight.max(0.0);
+        }
+        let bundle = self.kinds.get(kind).map_or(1, |kind| kind.bundle);
+        let gone = state == Listing::Gone;
+        if gone {
+            self.gone.insert(endpoint)
+        } else {
+            self.gone.remove(&endpoint)
+        };
+        let carrier = self.carriers.iter().find(|carrier| carrier.place(endpoint, &listing.address)).cloned();
+        let keeps = |other: &&Rc<dyn Carrier>| carrier.as_ref().is_some_and(|c| Rc::ptr_eq(c, other));
+        // Who made calls to it at the address that it had has no more to do with it.
+        self.carriers.iter().filter(|other| !keeps(other)).for_each(|other| other.forget(endpoint));
+        if let (Some(carrier), true) = (&carrier, state != Listing::Ready) {
+            carrier.close_idle(endpoint);
+        }
+        let (name, group, named) = (listing.name.into(), listing.group, self.lists);
+        self.endpoints.insert(endpoint, Known { name, group, kind, carrier, bundle, gone, named });
     }
 
-    fn prune(&mut self, referred: &HashSet<&str>) {
-        self.endpoints.retain(|id, known| {
-            let keep = !known.gone || referred.contains(&*known.name);
-            if let (Some(carrier), true) = (&known.carrier, known.gone) {
+    fn prune<'a, I: Iterator<Item = &'a str>>(&mut self, attempts: impl FnOnce() -> I) {
+        if self.gone.is_empty() && self.strays.is_empty() {
+            return;
+        }
+        let referred: HashSet<&str> = attempts().collect();
+        let (endpoints, ids) = (&mut self.endpoints, &mut self.ids);
+        self.gone.retain(|id| {
+            let Some(known) = endpoints.get(id) else { return false };
+            let keep = referred.contains(&*known.name);
+            if let Some(carrier) = &known.carrier {
                 if keep { carrier.close_idle(*id) } else { carrier.forget(*id) }
             }
+            if !keep {
+                // Its name may be another endpoint's by now.
+                if ids.get(&*known.name) == Some(id) {
+                    ids.remove(&*known.name);
+                }
+                endpoints.remove(id);
+            }
+            keep
+        });
+        self.strays.retain(|name| {
+            let listed = ids.get(name).is_none_or(|id| endpoints.contains_key(id));
+            let keep = !listed && referred.contains(name.as_str());
+            if !listed && !keep {
+                ids.remove(name);
+            }
             keep
         });
-        self.ids.retain(|name, id| self.endpoints.contains_key(id) || referred.contains(name.as_str()));
     }
 }
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use crate::config::{self, Config};
-use crate::directory::Directory;
+use crate::directory::{Directory, SLICE};
 use crate::peers::Peers;
 use crate::platform::{self, ListBody, Notice};
 use crate::ports::{Answer, AttemptOver, Carrier, Clock, Front, HandedIn, Inbound, Pace, Part};
@@ -157,6 +157,7 @@
         // What is looked at now and then: an end that is near, a journal that could not be written.
         let watchful = driver.stop_at.is_some() || !driver.unwritten.is_empty();
         let due = if watchful { due.min(clock.now() + 50_000) } else { due };
+        let due = if driver.directory.is_behind() { 0 } else { due };
         let first = tokio::select! {
             first = events.recv() => first,
             () = tokio::time::sleep_until(clock.instant(due.min(clock.now() + 60_000_000))) => None,
@@ -169,6 +170,9 @@
         while let Ok(inbound) = events.try_recv() {
             driver.fold(inbound, &mut said);
         }
+        if driver.directory.is_behind() {
+            said.push(driver.directory.slice(|| endpoints_of_attempts(&driver.journal)));
+        }
         let now = clock.now();
         while let Some(timer) = driver.timers.pop_first() {
             if timer.0 > now {
@@ -202,7 +206,7 @@
                 // Guards against a repeat outside the time for which it would be dropped: an age that is not known is
                 // beyond any such time.
                 .map(|attempt| (if set_back { now } else { now.saturating_sub(attempt.at) }, attempt))
-                .map(|(ago, attempt)| (ago, self.directory.id_of(&attempt.endpoint)))
+                .map(|(ago, attempt)| (ago, self.directory.id_of_attempt(&attempt.endpoint)))
                 .collect();
             let class = self.directory.class(&live.taken.class);
             let given_up = match (live.given_up, class) {
@@ -231,6 +235,14 @@
             Inbound::Withdrawn { id, request } => self.withdrawn(&id, request, said),
             Inbound::CallOver(ends) => ends.into_iter().for_each(|end| said.push(self.ended(end))),
             Inbound::Event(event) => said.push(event),
+            Inbound::Listed(platform::Listed(list))
+                if list.endpoints.len() > SLICE || self.directory.is_behind() =>
+            {
+                if self.directory.put_off(list).is_err() {
+                    eprintln!("the list changes faster than it can be taken in: it is asked for as a whole");
+                    self.whole_list.notify_one();
+                }
+            }
             Inbound::Listed(platform::Listed(list)) => said.push(self.listed(list)),
             Inbound::NoticesKept(messages) => {
                 for MessageId(number) in messages {
@@ -242,7 +254,8 @@
             }
             Inbound::Status => {
                 let open: Vec<_> = self.policy.open_breakers().iter().map(|d| d.0).collect();
-                eprintln!("status held={} open={open:?}", self.policy.held());
+                let (awake, asleep) = self.policy.awake_and_asleep();
+                eprintln!("status held={} awake={awake} asleep={asleep} open={open:?}", self.policy.held());
             }
             Inbound::Reload => match config::discovery_again() {
                 Ok(address) => {
@@ -357,8 +370,7 @@
     }
 
     fn listed(&mut self, list: ListBody) -> Event {
-        let attempts = self.journal.live().values().flat_map(|live| &live.attempts);
-        self.directory.listed(list, attempts.filter(|a| !a.never_ran).map(|a| &*a.endpoint))
+        self.directory.listed(list, || endpoints_of_attempts(&self.journal))
     }
 
     fn forget(&mut self, number: u32, id: &str) {
@@ -557,6 +569,12 @@
     }
 }
 
+/// Names of endpoints at which attempts of messages that are held may have run.
+fn endpoints_of_attempts(journal: &Journal) -> impl Iterator<Item = &str> {
+    let attempts = journal.live().values().flat_map(|live| &live.attempts);
+    attempts.filter(|attempt| !attempt.never_ran).map(|attempt| &*attempt.endpoint)
+}
+
 fn message(number: u32, class: usize, taken: &Taken, now: Micros) -> Message {
     Message {
         id: MessageId(number),
--- a/crates/sender/src/http/conn.rs
+++ b/crates/sender/src/http/conn.rs
@@ -295,10 +295,18 @@
     /// # Errors
     /// Fails when it breaks off, is too long or does not come.
     pub async fn body(&mut self, body: Incoming) -> Result<Bytes, ()> {
-        if body.size_hint().lower() > BODY_LIMIT as u64 {
+        self.body_within(body, BODY_LIMIT, REST_OF_ANSWER).await
+    }
+
+    /// Reads the rest of an answer that may be so long and take so long.
+    ///
+    /// # Errors
+    /// As [`Self::body`].
+    pub async fn body_within(&mut self, body: Incoming, limit: usize, within: Duration) -> Result<Bytes, ()> {
+        if body.size_hint().lower() > limit as u64 {
             return Err(());
         }
-        let mut whole = pin!(timeout(REST_OF_ANSWER, Limited::new(body, BODY_LIMIT).collect()));
+        let mut whole = pin!(timeout(within, Limited::new(body, limit).collect()));
         let (driver, failed) = (&mut self.driver, &mut self.failed);
         let whole = poll_fn(|cx| {
             Self::step(driver, failed, cx);
--- a/crates/sender/src/platform.rs
+++ b/crates/sender/src/platform.rs
@@ -23,6 +23,12 @@
 /// How much later its answer may come; one that need not wait comes at once.
 const HOLD_SLACK: Duration = Duration::from_secs(3);
 const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+/// A list has at most so many bytes: some 200,000 endpoints.
+const LIST_LIMIT: usize = 32 << 20;
+/// How long the rest of an answer may take.
+const LIST_WITHIN: Duration = Duration::from_secs(5);
+/// One of more bytes takes a millisecond and more to read.
+const LONG_LIST: usize = 128 << 10;
 /// Rest before a failed request is made again: a watch goes on if it comes back within 200 ms.
 const AGAIN: Duration = Duration::from_millis(50);
 /// How long a notice may take; it is sent again after that.
@@ -80,13 +86,21 @@
         None => Conn::open(address).await.map_err(|_| ())?,
     };
     let (head, body) = conn.send(request).await.map_err(|_| ())?.into_parts();
-    let body = conn.body(body).await?;
+    let body = conn.body_within(body, LIST_LIMIT, LIST_WITHIN).await?;
     if conn.usable().await {
         *kept = Some(conn);
     }
     Ok((head.status, body))
 }
 
+/// Guards turns against the time that a long list takes to read: another thread does it.
+async fn read_list(body: Bytes) -> Option<ListBody> {
+    if body.len() <= LONG_LIST {
+        return serde_json::from_slice(&body).ok();
+    }
+    tokio::task::spawn_blocking(move || serde_json::from_slice(&body).ok()).await.ok().flatten()
+}
+
 /// Watches the list from the version that is known, for as long as the process runs. Where discovery moves,
 /// it begins anew with the whole list there: versions of two places must not mix.
 pub async fn watch(
@@ -120,7 +134,7 @@
             }
         };
         let list = match answer {
-            Ok(Ok((StatusCode::OK, body))) => serde_json::from_slice::<ListBody>(&body).ok(),
+            Ok(Ok((StatusCode::OK, body))) => read_list(body).await,
             _ => None,
         };
         let said = match list {
--- a/crates/sender/src/program.rs
+++ b/crates/sender/src/program.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
-use decision::interface::Effect;
+use decision::interface::{Dormant, Effect, Micros, RouteId};
 use journal::Journal;
-use operators::Operators;
+use operators::{DormantTable, Operators};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
@@ -24,6 +24,11 @@
 /// Descriptors that are neither clients' nor endpoints'.
 const OWN_SOCKETS: usize = 32;
 
+/// What `[dormant]` has where it says no more than `after`.
+const REMEMBER: Micros = 30 * 86_400_000_000;
+const MEMORY: u64 = 8_000_000;
+const WAKES: u32 = 200;
+
 /// Takes donation messages on over HTTP and delivers them to partners' endpoints.
 ///
 /// Without a command it runs one sender, which NODE_CONFIG and NODE_STATE describe.
@@ -106,7 +111,8 @@
 }
 
 fn run(operators: Operators) -> Result<(), String> {
-    let config = config::read()?;
+    let mut config = config::read()?;
+    config.settings.dormant = dormant(&operators.dormant);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
@@ -137,6 +143,20 @@
     })
 }
 
+/// What the table says, with what it leaves out.
+fn dormant(table: &DormantTable) -> Option<Dormant> {
+    let after = table.after?.micros;
+    let memory = table.memory.map_or(MEMORY, |size| size.bytes);
+    let most = usize::try_from(memory / dormant::bytes_each::<RouteId>() as u64).unwrap_or(usize::MAX);
+    Some(Dormant {
+        after,
+        remember: table.remember.map_or(REMEMBER, |span| span.micros).max(after),
+        most: most.max(1),
+        awake: table.awake.map_or(usize::MAX, |awake| awake as usize),
+        wakes: f64::from(table.wakes.unwrap_or(WAKES)),
+    })
+}
+
 fn journal_options(config: &Config, operators: &Operators) -> journal::Options {
     let table = &operators.journal;
     let retain = table.retain.zip(table.ledger).map(|(span, size)| {
--- a/crates/sender/tests/program.rs
+++ b/crates/sender/tests/program.rs
@@ -58,5 +58,5 @@
     let program = Program::new(PROGRAM).arg("--operators").arg(&file);
     let node = Node::start(&program, &platform, &[leaving("e0", 7)], |_| {});
     assert_eq!(node.hand_in("a", "order", 7, 20_000).status(), 202);
-    standins::wait_until(|| node.log().iter().any(|line| line == "status held=1 open=[]"));
+    standins::wait_until(|| node.log().iter().any(|line| line == "status held=1 awake=1 asleep=0 open=[]"));
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! test or a rig says, and the sender itself as a process. All waiting is on events; a patience bounds it, so that a
 //! failure ends the test. Nothing here decides whether a sender did well.
 
+mod crowd;
 mod http;
 mod load;
 mod node;
@@ -11,6 +12,7 @@
 use std::thread;
 use std::time::Duration;
 
+pub use crowd::{Crowd, Saw, Way};
 pub use http::{Asked, Http, Reply, Served, status};
 pub use load::{HandedIn, Heard, Load, Notices, Place, Plan};
 pub use node::{Client, Node, Program, handing_in, handing_in_with};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -525,6 +525,7 @@
         report: (field("x0"), field("x1")),
         senders: raw.balancers.unwrap_or(1).max(1),
         period: micros(raw.period_us).max(1),
+        dormant: None,
         rules: Rules {
             answer_slack: micros(o.answer_slack_us),
             ask_every: o.ask_every_us.map(micros),
