--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -108,6 +108,7 @@
             match event {
                 Event::Accepted(message) => {
                     self.hold(message);
+                    // Guards the memory of a sender that can't forget: what sleeps has to make room first.
                     match self.routes.no_room(message.destination, now) {
                         Some(again) => self.answer(message.id, again.max(RESET_TIMEOUT), actions),
                         None => self.routes.wake(message.destination, &self.endpoints, now),
--- a/crates/decision/src/policy/route.rs
+++ b/crates/decision/src/policy/route.rs
@@ -1,6 +1,6 @@
 //! Health and pace of what a breaker guards, as this sender saw it.
 
-use dormant::{Facts, Recall, Worst};
+use dormant::{Facts, Worst};
 
 use crate::estimate::{AnswerTime, Pace, Served, Spent, faded};
 use crate::interface::*;
@@ -154,15 +154,14 @@
     /// With what is remembered of it, and what the list promises. Guards against pushing over what changed in
     /// its sleep: what was ill, or is unknown by now, gets one call first, its trial, and then the ramp; what
     /// refused gets one call at a time until it takes one. It costs those their time that are well again.
-    pub(crate) fn woken(recall: Option<Recall>, listing: (f64, Micros), rules: &Rules, now: Micros) -> Self {
+    pub(crate) fn woken(
+        remembered: Option<Facts>,
+        listing: (f64, Micros),
+        rules: &Rules,
+        now: Micros,
+    ) -> Self {
         let mut route = Self { listed: listing.0, told: listing.0, ..Self::new(listing.1) };
-        let facts = match recall {
-            None => return route,
-            Some(Recall::Known { facts, .. }) => facts,
-            Some(Recall::Unknown { wait_until }) => {
-                Facts { wait_until, worst: Worst::Failed, ..Facts::default() }
-            }
-        };
+        let Some(facts) = remembered else { return route };
         (route.wait_until, route.cold_since) = (facts.wait_until, facts.cold_since);
         (route.delivered_at, route.answered_at) = (facts.well_at, facts.well_at);
         (route.cut_at, route.grown_at) = (now, now);
@@ -181,6 +180,11 @@
         self.bad_run > 0 || self.late || self.breaker.state != State::Closed
     }
 
+    /// Whether it is remembered as ill when it falls asleep.
+    pub(crate) fn ill(&self, rules: &Rules, now: Micros) -> bool {
+        self.failing() || self.down(rules, now) || self.lost_at > self.delivered_at
+    }
+
     /// Whether what was seen since the last success looks like an outage. A shut destination shows as
     /// full without any success for longer than a limit's span; its return is as cold as any.
     pub(crate) fn down(&self, rules: &Rules, now: Micros) -> bool {
--- a/crates/decision/src/routes.rs
+++ b/crates/decision/src/routes.rs
@@ -54,8 +54,7 @@
         (self.awake.len(), self.memory.len())
     }
 
-    /// In how long there may be room for a destination to wake, if there is none now. Guards the memory of a sender that
-    /// can't forget: what sleeps has to make room first.
+    /// In how long there may be room for a destination to wake, if it sleeps and there is none now.
     pub fn no_room(&self, destination: DestinationId, now: Micros) -> Option<Micros> {
         let full = self.dormant.is_some_and(|d| self.awake.len() >= d.awake);
         let next = || self.awake.next_due().map_or(0, |at| at.saturating_sub(now));
@@ -105,8 +104,8 @@
         }
         let common = (id.0, None);
         let wait = self.memory.wait(common, now).max(self.routes.get(&common).map_or(0, |r| r.wait_until));
-        let recall = self.memory.take(id, now);
-        let mut route = Route::woken(recall, endpoints.listing(id), &self.rules, now);
+        let remembered = self.memory.take(id, now);
+        let mut route = Route::woken(remembered, endpoints.listing(id), &self.rules, now);
         (route.wait_until, route.waking) = (route.wait_until.max(wait), self.dormant.is_some());
         self.routes.insert(id, route);
     }
@@ -141,7 +140,7 @@
 
 /// What is to be remembered of a route.
 fn facts(route: &Route, rules: &Rules, now: Micros) -> Facts {
-    let ill = route.failing() || route.down(rules, now) || route.lost_at > route.delivered_at;
+    let ill = route.ill(rules, now);
     let refused = if route.fulls > 0 { Worst::Full } else { Worst::Well };
     Facts {
         wait_until: route.wait_until,
--- a/crates/dormant/src/lib.rs
+++ b/crates/dormant/src/lib.rs
@@ -2,13 +2,13 @@
 //! meanwhile ([`Memory`]) and how fast they may wake ([`Waking`]). No I/O, and no clock but the times that are told.
 //!
 //! ```
-//! use dormant::{Facts, Memory, Recall};
+//! use dormant::{Facts, Memory};
 //!
 //! let day = 86_400_000_000;
 //! let mut memory = Memory::new(1_000, 30 * day, 0);
 //! memory.keep("a charity", Facts { wait_until: day, limit: 5.0, ..Facts::default() }, 0)?;
-//! let Some(Recall::Known { facts, .. }) = memory.take("a charity", day / 2) else { panic!() };
-//! assert_eq!(facts.wait_until, day);
+//! let remembered = memory.take("a charity", day / 2);
+//! assert_eq!(remembered.map(|facts| facts.wait_until), Some(day));
 //! # Ok::<(), dormant::MemoryFull>(())
 //! ```
 
@@ -18,7 +18,7 @@
 mod waking;
 
 pub use awake::Awake;
-pub use memory::{Memory, MemoryFull, Recall, bytes_each};
+pub use memory::{Memory, MemoryFull, bytes_each};
 pub use packed::{Facts, Worst};
 pub use waking::Waking;
 
--- a/crates/dormant/src/memory.rs
+++ b/crates/dormant/src/memory.rs
@@ -16,23 +16,6 @@
     (size_of::<(K, Packed)>() + 1) * 16 / 7 + 1
 }
 
-/// What is known of one that wakes.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Recall {
-    /// All that was remembered.
-    Known {
-        /// When it fell asleep.
-        slept: Micros,
-        /// What was remembered.
-        facts: Facts,
-    },
-    /// It slept longer than anything is remembered, but for its wait.
-    Unknown {
-        /// Nothing may go there before; 0 for no wait.
-        wait_until: Micros,
-    },
-}
-
 /// There is room for nothing but the waits that are remembered already. What could not be kept must stay awake.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryFull;
@@ -96,16 +79,17 @@
         self.kept.get(&key).map(|packed| self.scale.wait(packed)).filter(|at| *at > now).unwrap_or(0)
     }
 
-    /// One wakes: tells what is known of it, which is forgotten here. Nothing for one that never slept.
-    pub fn take(&mut self, key: K, now: Micros) -> Option<Recall> {
-        let Some(packed) = self.kept.remove(&key) else {
-            return self.dropped.then_some(Recall::Unknown { wait_until: 0 });
-        };
+    /// One wakes: tells what is known of it, which is forgotten here. What slept longer than anything is remembered, or
+    /// may have been dropped for room, counts as failed, with no more known than its wait. Nothing for one that never
+    /// slept.
+    pub fn take(&mut self, key: K, now: Micros) -> Option<Facts> {
+        let unknown = |wait_until| Facts { wait_until, worst: Worst::Failed, ..Facts::default() };
+        let Some(packed) = self.kept.remove(&key) else { return self.dropped.then(|| unknown(0)) };
         let slept = self.scale.slept(&packed);
         Some(if now.saturating_sub(slept) < self.remember {
-            Recall::Known { slept, facts: self.scale.unpack(&packed) }
+            self.scale.unpack(&packed)
         } else {
-            Recall::Unknown { wait_until: self.scale.wait(&packed) }
+            unknown(self.scale.wait(&packed))
         })
     }
 
--- a/crates/sender/src/directory.rs
+++ b/crates/sender/src/directory.rs
@@ -415,6 +415,8 @@
                     }
                     let size = rng.usize(1..10);
                     let said = bits.directory.slice(size, referred);
+                    // A name that moves to another destination brings two entries.
+                    assert!(matches!(&said, Event::Changes(entries) if entries.len() <= 2 * size));
                     bits.hear(said);
                 }
                 if !bits.directory.is_behind() {
@@ -454,5 +456,14 @@
         let said = side.directory.slice(SLICE, || [].into_iter());
         side.hear(said);
         assert_eq!((side.directory.is_behind(), side.told.len()), (false, 10));
+        // Short ones come at once, unless they take much away or come behind what waits.
+        assert!(
+            !side.directory.wants_slices(&list(5, true))
+                && side.directory.wants_slices(&list(SLICE + 1, true))
+        );
+        side.directory.listed(list(2 * SLICE, true), || [].into_iter());
+        assert!(side.directory.wants_slices(&list(5, true)) && !side.directory.wants_slices(&list(5, false)));
+        side.directory.put_off(list(5, true)).unwrap();
+        assert!(side.directory.wants_slices(&list(5, false)));
     }
 }
