Answer on-call staff at a second address, and use the platform's listening socket

Change: package ops (no I/O): calls, figures, names held out by hand, the door for clients. The driver answers between turns. An endpoint held out goes to the decision module as one that drains, whatever the list says; its name is kept in NODE_STATE before the yes, across restarts. Standby: /ready says no, each answer is the last on its connection, idle ones are closed a second later. Also not taken: closing all idle clients' connections at once in standby, as at the end of a process: it crosses requests that are being written. NODE_LISTEN_FD goes through the crate listenfd, which has the unsafe step; the program starts itself once more with the variables that it reads.

--- a/crates/decision/src/endpoints.rs
+++ b/crates/decision/src/endpoints.rs
@@ -68,6 +68,11 @@
         self.all.get_mut(id)
     }
 
+    /// Endpoints in the list, and whether they take what is new.
+    pub fn in_list(&self) -> impl Iterator<Item = (EndpointId, bool)> {
+        self.all.iter().filter(|(_, e)| !e.gone).map(|(id, e)| (*id, e.ready))
+    }
+
     /// A whole list begins. What it has not named by the next [`Self::prune`] is gone.
     pub fn none_listed(&mut self) {
         self.lists += 1;
--- a/crates/decision/src/policy/view.rs
+++ b/crates/decision/src/policy/view.rs
@@ -13,6 +13,13 @@
         open
     }
 
+    /// Endpoints in the list that nothing new goes to now, or no more than a trial.
+    pub fn avoided(&self) -> usize {
+        let shut = |id| self.endpoints.route(id).and_then(|route| self.routes.get(&route));
+        let avoided = |id, ready: bool| !ready || shut(id).is_some_and(|r| r.breaker.state != State::Closed);
+        self.endpoints.in_list().filter(|(id, ready)| avoided(*id, *ready)).count()
+    }
+
     /// Destinations that are awake, and routes that are remembered asleep.
     pub fn awake_and_asleep(&self) -> (usize, usize) {
         self.routes.awake_and_asleep()
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -15,6 +15,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where on-call staff call, if anywhere.
+    pub ops: Option<SocketAddr>,
     /// Discovery.
     pub discovery: SocketAddr,
     /// The folder that lasts.
@@ -67,6 +69,8 @@
 struct Raw {
     name: String,
     listen: SocketAddr,
+    #[serde(default)]
+    ops: Option<SocketAddr>,
     discovery: SocketAddr,
     seed: String,
     limits: RawLimits,
@@ -108,6 +112,10 @@
     Ok(Config {
         name: variable("NODE_NAME")?.unwrap_or(config.name),
         listen: address("NODE_LISTEN", config.listen)?,
+        ops: match (variable("NODE_OPS")?, config.ops) {
+            (None, None) => None,
+            (_, default) => Some(address("NODE_OPS", default.unwrap_or(config.listen))?),
+        },
         discovery: address("NODE_DISCOVERY", config.discovery)?,
         state: state.into(),
         ..config
@@ -153,6 +161,7 @@
     Ok(Config {
         name: raw.name,
         listen: raw.listen,
+        ops: raw.ops,
         discovery: raw.discovery,
         state: PathBuf::new(),
         seed: u64::from_str_radix(&raw.seed, 16).map_err(|e| format!("seed {:?}: {e}", raw.seed))?,
--- a/crates/sender/src/directory.rs
+++ b/crates/sender/src/directory.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use decision::interface::*;
+use ops::held_out::{HeldOut, Past, Refused};
 
 use crate::config::Names;
 use crate::platform::{ListBody, Listing as Listed};
@@ -23,6 +24,10 @@
     /// Who makes calls to it; none where its address can't be read.
     carrier: Option<Rc<dyn Carrier>>,
     bundle: usize,
+    /// What the list says of it; nothing new goes there besides while it is held out.
+    listing: Listing,
+    zone: u16,
+    weight: f64,
     /// No list names it any more.
     gone: bool,
     /// The last whole list that named it, or change since.
@@ -43,6 +48,9 @@
     /// Endpoints that are gone and not forgotten yet, and names that attempts alone refer to.
     gone: BTreeSet<EndpointId>,
     strays: BTreeSet<String>,
+    /// Held out by hand, whatever the list says, and names that the list had.
+    held_out: HeldOut,
+    past: Past,
     /// Whole lists so far; the last one may not be at its end yet.
     lists: u64,
     whole: bool,
@@ -57,8 +65,10 @@
 
 impl Directory {
     /// Nothing is known yet. The first carrier that can read an endpoint's address makes the calls to it.
-    pub fn new(names: Names, kinds: Vec<Kind>, carriers: Vec<Rc<dyn Carrier>>) -> Self {
+    pub fn new(names: Names, kinds: Vec<Kind>, carriers: Vec<Rc<dyn Carrier>>, held_out: HeldOut) -> Self {
         Self {
+            held_out,
+            past: Past::default(),
             names,
             kinds,
             carriers,
@@ -105,6 +115,51 @@
         self.endpoints.get(&endpoint)?.carrier.as_ref()
     }
 
+    /// Endpoints in the list.
+    pub fn listed_endpoints(&self) -> usize {
+        self.endpoints.values().filter(|known| !known.gone).count()
+    }
+
+    /// Which endpoints are held out by hand.
+    pub fn held_out(&self) -> &HeldOut {
+        &self.held_out
+    }
+
+    /// What is held out by hand once this endpoint is, or is no longer. Nothing changes by it.
+    ///
+    /// # Errors
+    /// Fails when no list has named it, or there is no room.
+    pub fn would_hold_out(&self, name: &str, out: bool) -> Result<HeldOut, Refused> {
+        let known = self.ids.get(name).is_some_and(|id| self.endpoints.contains_key(id));
+        if !known && !self.past.contains(name) && !self.held_out.contains(name) {
+            return Err(Refused::Unknown);
+        }
+        let mut held_out = self.held_out.clone();
+        if out {
+            held_out.enter(name)?;
+        } else {
+            held_out.exit(name);
+        }
+        Ok(held_out)
+    }
+
+    /// These are held out from now on; tells what changes by it.
+    pub fn hold_out(&mut self, held_out: HeldOut) -> Event {
+        let before = std::mem::replace(&mut self.held_out, held_out);
+        let changed = |known: &&Known| before.contains(&known.name) != self.held_out.contains(&known.name);
+        let listed = self.endpoints.iter().filter(|(_, known)| !known.gone);
+        let changes = listed.filter(|(_, known)| changed(known)).map(|(id, known)| {
+            let listing = if self.held_out.contains(&known.name) { Listing::Draining } else { known.listing };
+            if let (Listing::Draining, Some(carrier)) = (listing, &known.carrier) {
+                carrier.close_idle(*id);
+            }
+            let destination = DestinationId(known.group);
+            let (zone, kind, weight) = (known.zone, known.kind, known.weight);
+            Entry { endpoint: *id, destination, zone, kind, weight, listing }
+        });
+        Event::Changes(changes.collect())
+    }
+
     /// The id of the endpoint that an attempt went to, which no list need have named.
     pub fn id_of_attempt(&mut self, name: &str) -> EndpointId {
         self.strays.insert(name.to_owned());
@@ -208,6 +263,7 @@
     fn goes(&mut self, endpoint: EndpointId) -> Option<Entry> {
         let known = self.endpoints.get_mut(&endpoint).filter(|known| known.named != self.lists)?;
         known.gone = true;
+        self.past.left(&known.name);
         self.gone.insert(endpoint);
         let destination = DestinationId(known.group);
         Some(Entry {
@@ -240,19 +296,24 @@
             self.ids.remove(&listing.name);
             endpoint = self.id_of(&listing.name);
         }
-        let state = match listing.status.as_str() {
+        let listed = match listing.status.as_str() {
             "active" => Listing::Ready,
             "left" => Listing::Gone,
             _ => Listing::Draining,
         };
+        // Whatever the list says, who was taken out by hand comes back by hand.
+        let held_out = listed == Listing::Ready && self.held_out.contains(&listing.name);
+        let state = if held_out { Listing::Draining } else { listed };
         entry(endpoint, listing.group, state);
         self.destinations.insert(listing.group);
-        if let (Some(entry), true) = (entries.last_mut(), listing.weight.is_finite()) {
-            entry.weight = listing.weight.max(0.0);
+        let weight = if listing.weight.is_finite() { listing.weight.max(0.0) } else { 0.0 };
+        if let Some(entry) = entries.last_mut() {
+            entry.weight = weight;
         }
         let bundle = self.kinds.get(kind).map_or(1, |kind| kind.bundle);
         let gone = state == Listing::Gone;
         if gone {
+            self.past.left(&listing.name);
             self.gone.insert(endpoint)
         } else {
             self.gone.remove(&endpoint)
@@ -265,7 +326,9 @@
             carrier.close_idle(endpoint);
         }
         let (name, group, named) = (listing.name.into(), listing.group, self.lists);
-        self.endpoints.insert(endpoint, Known { name, group, kind, carrier, bundle, gone, named });
+        let listing = listed;
+        let known = Known { name, group, kind, carrier, bundle, listing, zone, weight, gone, named };
+        self.endpoints.insert(endpoint, known);
     }
 
     fn prune<'a, I: Iterator<Item = &'a str>>(&mut self, attempts: impl FnOnce() -> I) {
@@ -326,6 +389,9 @@
         fn cancel(&self, _: MessageId, _: u16) {}
         fn probe(&self, _: EndpointId) {}
         fn close_idle(&self, _: EndpointId) {}
+        fn written(&self) -> u64 {
+            0
+        }
         fn out(&self) -> usize {
             0
         }
@@ -341,7 +407,8 @@
     impl Side {
         fn new() -> Self {
             let (places, told) = (Rc::new(Places::default()), BTreeMap::new());
-            let directory = Directory::new(Names::default(), vec![], vec![places.clone()]);
+            let directory =
+                Directory::new(Names::default(), vec![], vec![places.clone()], HeldOut::default());
             Self { directory, places, told }
         }
 
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,14 +11,20 @@
 use decision::interface::*;
 use decision::policy::Policy;
 use journal::{GivenUp, Journal, Live, Record, Remembered, Taken};
+use ops::call::Call;
+use ops::door::Door;
+use ops::figures::{End, Ends, Now};
+use ops::held_out::HeldOut;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, oneshot, watch};
 
 use crate::config::{self, Config};
 use crate::directory::{Directory, SLICE};
+use crate::http;
+use crate::kept;
 use crate::peers::Peers;
 use crate::platform::{self, ListBody, Notice};
-use crate::ports::{Answer, AttemptOver, Carrier, Clock, Front, HandedIn, Inbound, Pace, Part};
+use crate::ports::{Answer, AttemptOver, Carrier, Clock, Front, HandedIn, Inbound, Pace, Part, Told};
 
 /// From SIGTERM until the process may be killed.
 const STOP_WITHIN: Micros = 3_700_000;
@@ -62,7 +69,10 @@
     whole_list: Rc<Notify>,
     discovery: watch::Sender<SocketAddr>,
     inbound: UnboundedSender<Inbound>,
-    stopping: watch::Sender<bool>,
+    door: watch::Sender<Door>,
+    ends: Ends,
+    /// Where it is kept who is held out.
+    state: PathBuf,
     stop_at: Option<Micros>,
     timers: BTreeSet<(Micros, u64)>,
     next_message: u32,
@@ -92,8 +102,10 @@
     pub carriers: Vec<Rc<dyn Carrier>>,
     /// Notes to other senders.
     pub peers: Option<Peers>,
-    /// Tells the fronts that the process ends.
-    pub stopping: watch::Sender<bool>,
+    /// Tells the fronts whether clients may come.
+    pub door: watch::Sender<Door>,
+    /// Who is held out by hand.
+    pub held_out: HeldOut,
     /// The system's clock was set back since the last process.
     pub set_back: bool,
 }
@@ -108,7 +120,7 @@
     inbound: UnboundedSender<Inbound>,
     mut events: UnboundedReceiver<Inbound>,
 ) -> Result<(), String> {
-    let Parts { clock, journal, fronts, carriers, peers, stopping, set_back } = parts;
+    let Parts { clock, journal, fronts, carriers, peers, door, held_out, set_back } = parts;
     let (notices, owed) = unbounded_channel();
     let whole_list = Rc::new(Notify::new());
     let (discovery, found) = watch::channel(config.discovery);
@@ -116,13 +128,15 @@
         clock,
         next_message: journal.live().keys().max().map_or(0, |last| last.wrapping_add(1)),
         journal,
-        directory: Directory::new(config.names.clone(), config.settings.kinds.clone(), carriers),
+        directory: Directory::new(config.names.clone(), config.settings.kinds.clone(), carriers, held_out),
         peers,
         notices,
         whole_list: whole_list.clone(),
         discovery,
         inbound: inbound.clone(),
-        stopping,
+        door,
+        ends: Ends::new(config.names.classes.iter().cloned()),
+        state: config.state.clone(),
         stop_at: None,
         timers: BTreeSet::new(),
         held: HashMap::new(),
@@ -141,6 +155,11 @@
     for front in &fronts {
         places.push(front.clone().begin().map_err(|e| format!("listen: {e}"))?.to_string());
     }
+    // On-call staff learn of a process that takes clients from when on it does.
+    if let Some(address) = config.ops {
+        let place = http::ops::listen(address, inbound.clone()).map_err(|e| format!("ops: {e}"))?;
+        eprintln!("{} answers on-call staff on {place}", config.name);
+    }
     tokio::task::spawn_local(platform::notices(found.clone(), owed, inbound.clone()));
     tokio::task::spawn_local(platform::watch(found, index, whole_list, inbound));
     eprintln!(
@@ -250,6 +269,9 @@
                     }
                 }
             }
+            Inbound::Ops(call, answer) => {
+                let _ = answer.send(self.asked(call, said));
+            }
             Inbound::Status => {
                 let open: Vec<_> = self.policy.open_breakers().iter().map(|d| d.0).collect();
                 let (awake, asleep) = self.policy.awake_and_asleep();
@@ -265,12 +287,57 @@
             Inbound::Terminate => {
                 let at = self.clock.now() + STOP_WITHIN;
                 self.stop_at = Some(at);
-                let _ = self.stopping.send(true);
+                self.door.send_replace(Door::Closing);
                 said.push(Event::Stopping(at));
             }
         }
     }
 
+    /// What on-call staff ask for. A no changes nothing.
+    fn asked(&mut self, call: Call, said: &mut Vec<Event>) -> Told {
+        let told = |status, text: &str| Told { status, text: text.to_owned() };
+        let done = || told(200, "done\n");
+        let door = *self.door.borrow();
+        match call {
+            Call::Status if door == Door::Closing => told(503, "ending\n"),
+            Call::Status => told(200, "taking clients\n"),
+            Call::Metrics => told(200, &self.ends.text(self.figures())),
+            Call::Standby | Call::Active if door == Door::Closing => told(409, "ending\n"),
+            Call::Standby => {
+                self.door.send_replace(door.standby(self.clock.now()));
+                done()
+            }
+            Call::Active => {
+                self.door.send_replace(door.active());
+                done()
+            }
+            Call::HoldOut(ref name) | Call::PutBack(ref name) => {
+                let out = matches!(call, Call::HoldOut(_));
+                let held_out = match self.directory.would_hold_out(name, out) {
+                    Ok(held_out) => held_out,
+                    Err(refused) => return told(refused.status(), refused.text()),
+                };
+                // Before the yes: it holds for the next process too.
+                if held_out != *self.directory.held_out()
+                    && let Err(e) = kept::write(&self.state, &held_out)
+                {
+                    return told(500, &format!("it can't be kept, and nothing changes: {e}\n"));
+                }
+                said.push(self.directory.hold_out(held_out));
+                done()
+            }
+        }
+    }
+
+    fn figures(&self) -> Now {
+        Now {
+            relayed: self.directory.carriers().iter().map(|carrier| carrier.written()).sum(),
+            open: self.policy.held(),
+            listed: self.directory.listed_endpoints(),
+            out_of_rotation: self.policy.avoided(),
+        }
+    }
+
     fn handed_in(&mut self, message: HandedIn, said: &mut Vec<Event>) {
         let HandedIn { taken, class, request, answer } = message;
         if let Some((number, _)) = self.held.get(&taken.id) {
@@ -283,6 +350,7 @@
         }
         // Guards the room against messages that nobody takes: a new destination's first list may be on its way.
         if !self.directory.names_destination(taken.destination) {
+            self.ends.count(&taken.class, End::Throttled);
             let _ = answer.send(Answer::Refused(UNLISTED_AGAIN));
             return;
         }
@@ -295,6 +363,7 @@
         }
         let pending: u64 = self.fresh.values().map(|fresh| self.journal.room_for(&fresh.taken)).sum();
         if !self.journal.has_room(&taken, pending) {
+            self.ends.count(&taken.class, End::Throttled);
             let _ = answer.send(Answer::Refused(NO_ROOM_AGAIN));
             return;
         }
@@ -330,14 +399,19 @@
     fn ended(&mut self, end: AttemptOver) -> Event {
         let number = end.message.0;
         let live = self.journal.live().get(&number);
-        let owed = live.filter(|live| live.given_up.is_none()).map(|live| live.taken.id.clone());
+        let owed = live.filter(|live| live.given_up.is_none()).map(|live| live.taken.clone());
         // Over already, or given up: what comes now changes nothing.
         let mut terminal = true;
-        if let Some(id) = owed.filter(|id| self.held.get(id).is_some_and(|held| held.0 == number)) {
+        if let Some(taken) =
+            owed.filter(|taken| self.held.get(&taken.id).is_some_and(|held| held.0 == number))
+        {
             terminal = end.gone || end.outcome == Outcome::Delivered;
             if terminal {
+                if end.outcome == Outcome::Delivered {
+                    self.ends.count(&taken.class, End::Fulfilled);
+                }
                 self.over(number, end.outcome == Outcome::Delivered);
-                self.forget(number, &id);
+                self.forget(number, &taken.id);
             } else {
                 let never_ran = end.outcome.never_ran();
                 self.unwritten.push(Record::Ended { message: number, attempt: end.attempt, never_ran });
@@ -433,15 +507,21 @@
             }
         }
         for (number, how) in given_up {
+            let end = match how {
+                GivenUp::Deferred(_) => End::Throttled,
+                GivenUp::Undeliverable => End::Faulted,
+            };
             if let Some(fresh) = fresh.remove(&number) {
+                self.ends.count(&fresh.taken.class, end);
                 self.forget(number, &fresh.taken.id);
                 fresh.answer(match how {
                     GivenUp::Deferred(again) => Answer::Refused(again),
                     GivenUp::Undeliverable => Answer::Failed,
                 });
-            } else if let Some(id) = self.journal.live().get(&number).map(|live| live.taken.id.clone()) {
+            } else if let Some(taken) = self.journal.live().get(&number).map(|live| live.taken.clone()) {
+                self.ends.count(&taken.class, end);
                 records.push(Record::GivenUp(number, how));
-                self.unsaid.push((number, how, id));
+                self.unsaid.push((number, how, taken.id.clone()));
             }
         }
         let kept = records.len();
@@ -506,6 +586,7 @@
         }
         for (number, fresh) in fresh {
             self.forget(number, &fresh.taken.id);
+            self.ends.count(&fresh.taken.class, End::Throttled);
             let _ = self.inbound.send(Inbound::Event(Event::Left(MessageId(number))));
             fresh.answer(Answer::Refused(NO_ROOM_AGAIN));
         }
--- a/crates/sender/src/http/calls.rs
+++ b/crates/sender/src/http/calls.rs
@@ -58,7 +58,16 @@
     /// Connections that are in use.
     busy: Cell<usize>,
     /// For each attempt that is out, what calls it off.
-    out: RefCell<HashMap<(MessageId, u16), CallOff>>,
+    out: RefCell<HashMap<(MessageId, u16), Out>>,
+    /// Messages that ended after they were written whole.
+    written: Cell<u64>,
+}
+
+/// An attempt that is out.
+struct Out {
+    off: CallOff,
+    /// Its last byte may have been written.
+    may_run: Rc<Cell<bool>>,
 }
 
 /// All calls that are out and the connections that stand idle.
@@ -99,7 +108,8 @@
     /// No calls yet. Idle connections are looked after by a task of their own.
     pub fn new(limits: Limits, inbound: UnboundedSender<Inbound>) -> Self {
         let (places, idle, out) = (RefCell::default(), RefCell::default(), RefCell::default());
-        let calls = Self(Rc::new(Shared { limits, places, inbound, idle, busy: Cell::new(0), out }));
+        let written = Cell::new(0);
+        let calls = Self(Rc::new(Shared { limits, places, inbound, idle, busy: Cell::new(0), out, written }));
         let swept = calls.clone();
         tokio::task::spawn_local(async move {
             let mut tick = tokio::time::interval(Duration::from_millis(250));
@@ -131,6 +141,11 @@
         self.close_idle(endpoint);
     }
 
+    fn written(&self) -> u64 {
+        let out = self.0.out.borrow().values().filter(|out| out.may_run.get()).count();
+        self.0.written.get() + out as u64
+    }
+
     fn out(&self) -> usize {
         self.0.out.borrow().len()
     }
@@ -147,13 +162,14 @@
         };
         let (off, called_off) = oneshot::channel();
         let off = Rc::new(Cell::new(Some(off)));
+        let progress = Progress::default();
         for part in &parts {
-            shared.out.borrow_mut().insert((part.message, part.attempt), off.clone());
+            let out = Out { off: off.clone(), may_run: progress.may_run.clone() };
+            shared.out.borrow_mut().insert((part.message, part.attempt), out);
         }
         tokio::task::spawn_local(async move {
             let begun = Instant::now();
             let until = begun + Duration::from_micros(wait);
-            let progress = Progress::default();
             // Guards what is delivered against a spoilt rest: to a single message the first line is the answer.
             let unless_delivered = |outcome| {
                 if parts.len() == 1 && progress.said_ok() { Outcome::Delivered } else { outcome }
@@ -187,7 +203,7 @@
     }
 
     fn cancel(&self, message: MessageId, attempt: u16) {
-        let off = self.0.out.borrow().get(&(message, attempt)).and_then(|off| off.take());
+        let off = self.0.out.borrow().get(&(message, attempt)).and_then(|out| out.off.take());
         if let Some(off) = off {
             let _ = off.send(());
         }
@@ -431,7 +447,10 @@
         let mut over = Vec::with_capacity(parts.len());
         for (part, (outcome, gone)) in parts.iter().zip(&answered.ends) {
             let (message, attempt) = (part.message, part.attempt);
-            self.out.borrow_mut().remove(&(message, attempt));
+            let out = self.out.borrow_mut().remove(&(message, attempt));
+            if out.is_some_and(|out| out.may_run.get()) && *outcome != Outcome::ConnectFailed {
+                self.written.set(self.written.get() + 1);
+            }
             let (outcome, gone, report) = (*outcome, *gone, answered.report.clone());
             over.push(AttemptOver { message, attempt, endpoint, outcome, gone, took, report });
         }
--- a/crates/sender/src/http/intake.rs
+++ b/crates/sender/src/http/intake.rs
@@ -23,6 +23,7 @@
 use tokio::time::{Instant, timeout};
 
 use journal::Taken;
+use ops::door::Door;
 
 use crate::ports::{Answer, BODY_LIMIT, Clock, Front, HandedIn, Inbound};
 
@@ -60,7 +61,9 @@
     /// Each class's name and its longest deadline.
     classes: Vec<(Arc<str>, Micros)>,
     inbound: UnboundedSender<Inbound>,
-    stopping: watch::Receiver<bool>,
+    door: watch::Receiver<Door>,
+    /// The platform's own listening socket, until it is listened on.
+    inherited: Cell<Option<std::net::TcpListener>>,
     places: RefCell<HashMap<u64, Rc<Place>>>,
     freed: Notify,
     connections: Cell<u64>,
@@ -131,6 +134,13 @@
 
 impl Front for Intake {
     fn begin(self: Rc<Self>) -> io::Result<SocketAddr> {
+        if let Some(listener) = self.inherited.take() {
+            listener.set_nonblocking(true)?;
+            let listener = TcpListener::from_std(listener)?;
+            let address = listener.local_addr()?;
+            tokio::task::spawn_local(self.listen(listener));
+            return Ok(address);
+        }
         let socket = if self.address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         socket.set_reuseaddr(true)?;
         socket.bind(self.address)?;
@@ -146,17 +156,19 @@
 }
 
 impl Intake {
-    /// A front that is to listen on that address, with so many connections at a time; it does not listen yet.
+    /// A front that is to listen on that address, or on a socket that listens there already, with so many connections
+    /// at a time; it does not take any yet.
     pub fn new(
-        (address, most): (SocketAddr, usize),
+        (address, inherited, most): (SocketAddr, Option<std::net::TcpListener>, usize),
         clock: Clock,
         classes: Vec<(Arc<str>, Micros)>,
         inbound: UnboundedSender<Inbound>,
-        stopping: watch::Receiver<bool>,
+        door: watch::Receiver<Door>,
     ) -> Self {
         let (places, freed) = (RefCell::default(), Notify::new());
         let (connections, requests) = (Cell::new(0), Cell::new(0));
-        Self { address, most, clock, classes, inbound, stopping, places, freed, connections, requests }
+        let inherited = Cell::new(inherited);
+        Self { address, most, clock, classes, inbound, door, inherited, places, freed, connections, requests }
     }
 
     /// Takes connections for as long as the process runs.
@@ -201,18 +213,19 @@
 
     async fn serve(&self, stream: TcpStream, place: &Place) {
         let _ = stream.set_nodelay(true);
-        let mut stopping = self.stopping.clone();
-        let already = *stopping.borrow_and_update();
+        let came = self.clock.now();
+        let mut door = self.door.clone();
+        door.mark_changed();
         let service = service_fn(|request| self.answer(request, place));
-        // While stopping, a new connection gets one answer: clients need the time to go elsewhere.
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_WITHIN)
             .max_buf_size(HEAD_LIMIT)
-            .keep_alive(!already)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
+        let mut idle_until = None;
         loop {
+            let until = self.clock.instant(idle_until.unwrap_or(Micros::MAX / 2));
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return,
@@ -221,7 +234,22 @@
                         return;
                     }
                 }
-                Ok(()) = stopping.changed() => connection.as_mut().graceful_shutdown(),
+                Ok(()) = door.changed() => {
+                    let now = *door.borrow_and_update();
+                    // A connection that comes late has its moment too: while clients are sent away a new one gets one
+                    // answer, for they need the time to go elsewhere.
+                    idle_until = now.close_idle_at().map(|at| at.max(came + ops::door::LINGER));
+                    if now == Door::Closing {
+                        connection.as_mut().graceful_shutdown();
+                    }
+                }
+                () = tokio::time::sleep_until(until), if idle_until.is_some() => {
+                    if !place.asking.get() {
+                        return;
+                    }
+                    // Its answer is the last.
+                    idle_until = None;
+                }
             }
         }
     }
@@ -232,14 +260,18 @@
         place: &Place,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let _asking = Asking::new(place);
-        Ok(match (request.method(), request.uri().path()) {
-            (&Method::GET, "/ready") if *self.stopping.borrow() => {
-                plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n")
+        let mut response = match (request.method(), request.uri().path()) {
+            (&Method::GET, "/ready") if !self.door.borrow().ready() => {
+                plain(StatusCode::SERVICE_UNAVAILABLE, "clients are sent away\n")
             }
             (&Method::GET, "/ready") => plain(StatusCode::OK, "ready\n"),
             (&Method::POST, _) => self.hand_in(request).await,
             _ => told_off(StatusCode::NOT_FOUND, "not found\n"),
-        })
+        };
+        if self.door.borrow().last_answer() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(response)
     }
 
     /// Guards against anything that a client may write: what can't be meant as a message gets 400.
--- a/crates/sender/src/http/mod.rs
+++ b/crates/sender/src/http/mod.rs
@@ -3,3 +3,4 @@
 pub mod calls;
 pub mod conn;
 pub mod intake;
+pub mod ops;
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod directory;
 pub mod driver;
 pub mod http;
+mod kept;
 mod look;
 pub mod peers;
 pub mod platform;
--- a/crates/sender/src/ports.rs
+++ b/crates/sender/src/ports.rs
@@ -48,6 +48,9 @@
     /// Closes idle connections to an endpoint.
     fn close_idle(&self, endpoint: EndpointId);
 
+    /// Messages written whole to endpoints so far, counted once for each attempt.
+    fn written(&self) -> u64;
+
     /// Attempts that are out.
     fn out(&self) -> usize;
 }
@@ -75,6 +78,8 @@
     Listed(platform::Listed),
     /// The platform has these notices.
     NoticesKept(Vec<MessageId>),
+    /// On-call staff ask for something.
+    Ops(ops::call::Call, oneshot::Sender<Told>),
     /// A line on the state is to be written to the log.
     Status,
     /// The configuration is to be read again.
@@ -83,6 +88,15 @@
     Terminate,
 }
 
+/// What on-call staff are told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    /// The answer's status: 2xx for yes, anything else for no.
+    pub status: u16,
+    /// Its text.
+    pub text: String,
+}
+
 /// How one attempt ended.
 #[derive(Debug, Clone)]
 pub struct AttemptOver {
--- a/crates/sender/src/program.rs
+++ b/crates/sender/src/program.rs
@@ -1,8 +1,9 @@
 //! The command line, and what one process is put together from.
 
 use std::ffi::OsString;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
-use std::process::ExitCode;
+use std::process::{Command, ExitCode};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,13 +11,16 @@
 use decision::interface::{Dormant, Effect, Micros, RouteId};
 use journal::Journal;
 use operators::{DormantTable, Operators};
+use ops::door::Door;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
 use crate::config::{self, Config};
 use crate::driver::{self, Parts};
+use crate::http;
 use crate::http::calls::{Calls, Limits};
 use crate::http::intake::Intake;
+use crate::kept;
 use crate::look;
 use crate::peers::Peers;
 use crate::ports::{Clock, Inbound};
@@ -39,11 +43,11 @@
     #[arg(long, value_name = "FILE")]
     operators: Option<PathBuf>,
     #[command(subcommand)]
-    command: Option<Command>,
+    command: Option<Task>,
 }
 
 #[derive(Subcommand)]
-enum Command {
+enum Task {
     /// Looks at a journal, from outside: it changes nothing, and may be run beside the sender.
     Journal {
         #[command(subcommand)]
@@ -86,12 +90,12 @@
         }
     };
     let done = match arguments.command {
-        Some(Command::Journal { command }) => match command {
+        Some(Task::Journal { command }) => match command {
             Look::Verify { folder } => look::verify(&folder),
             Look::List { folder } => look::list(&folder),
             Look::Export { folder } => look::export(&folder),
         },
-        Some(Command::Check { file }) => operators(&file).map(|_| println!("{}: well", file.display())),
+        Some(Task::Check { file }) => operators(&file).map(|_| println!("{}: well", file.display())),
         None => {
             arguments.operators.as_deref().map_or_else(|| Ok(Operators::default()), operators).and_then(run)
         }
@@ -110,7 +114,23 @@
     Operators::parse(&text).map_err(|e| format!("{}:{e}", file.display()))
 }
 
+/// The listening socket that the platform holds for all processes of this sender, if it does: its descriptor's number
+/// stands in `NODE_LISTEN_FD`. Where the program was not started in the way that the library for it knows, it starts
+/// itself once more in that way, as the same process.
+fn inherited() -> Result<Option<std::net::TcpListener>, String> {
+    let Ok(number) = std::env::var("NODE_LISTEN_FD") else { return Ok(None) };
+    let wrong = |e: std::io::Error| format!("NODE_LISTEN_FD={number}: {e}");
+    if std::env::var_os("LISTEN_FDS_FIRST_FD").is_none() {
+        let mut again = Command::new(std::env::current_exe().map_err(wrong)?);
+        again.args(std::env::args_os().skip(1)).env_remove("LISTEN_PID");
+        return Err(wrong(again.env("LISTEN_FDS", "1").env("LISTEN_FDS_FIRST_FD", &number).exec()));
+    }
+    let socket = listenfd::ListenFd::from_env().take_tcp_listener(0).map_err(wrong)?;
+    socket.map(Some).ok_or_else(|| format!("NODE_LISTEN_FD={number}: there is no such descriptor"))
+}
+
 fn run(operators: Operators) -> Result<(), String> {
+    let inherited = inherited()?;
     let mut config = config::read()?;
     config.settings.dormant = dormant(&operators.dormant);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -138,7 +158,7 @@
                 }
             });
         }
-        let parts = assemble(&config, &operators, &inbound).await?;
+        let parts = assemble(&config, &operators, inherited, &inbound).await?;
         driver::run(config, parts, inbound, events).await
     })
 }
@@ -173,7 +193,7 @@
         operators::Damage::Suspect => journal::Damage::Suspect,
     };
     journal::Options {
-        limit: config.disk,
+        limit: if config.ops.is_some() { config.disk.saturating_sub(kept::RESERVED) } else { config.disk },
         sync: table.sync == operators::Sync::Group,
         damage,
         retain,
@@ -184,6 +204,7 @@
 async fn assemble(
     config: &Config,
     operators: &Operators,
+    inherited: Option<std::net::TcpListener>,
     inbound: &mpsc::UnboundedSender<Inbound>,
 ) -> Result<Parts, String> {
     let (journal, report) =
@@ -195,17 +216,19 @@
         eprintln!("the clock was set back since the last process: how old its attempts are is not known");
     }
     let peers = Peers::open(config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
-    let sides = (config.sockets.saturating_sub(OWN_SOCKETS) / 2).max(1);
+    let own = OWN_SOCKETS + config.ops.map_or(0, |_| http::ops::CALLERS + 1);
+    let sides = (config.sockets.saturating_sub(own) / 2).max(1);
     let limits = Limits {
         connect: config.settings.connect_timeout.max(1),
         idle: config.settings.idle_close,
         connections: sides,
         report: config.names.report.clone(),
     };
-    let (stopping, stop) = watch::channel(false);
+    let held_out = kept::read(&config.state).map_err(|e| format!("{}: {e}", config.state.display()))?;
+    let (door, seen) = watch::channel(Door::default());
     let longest = config.settings.classes.iter().map(|class| class.deadline);
     let classes = config.names.classes.iter().map(|name| name.as_str().into()).zip(longest).collect();
-    let intake = Intake::new((config.listen, sides), clock, classes, inbound.clone(), stop);
+    let intake = Intake::new((config.listen, inherited, sides), clock, classes, inbound.clone(), seen);
     let calls = Calls::new(limits, inbound.clone());
     Ok(Parts {
         clock,
@@ -213,7 +236,8 @@
         fronts: vec![Rc::new(intake)],
         carriers: vec![Rc::new(calls)],
         peers,
-        stopping,
+        door,
+        held_out,
         set_back,
     })
 }
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 use std::ffi::OsString;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -23,6 +24,8 @@
     program: Program,
     /// Where clients connect.
     pub address: SocketAddr,
+    /// Where it answers on-call staff, if it does.
+    pub ops: Option<SocketAddr>,
     log: Arc<Mutex<VecDeque<String>>>,
     folder: Arc<tempfile::TempDir>,
 }
@@ -34,12 +37,21 @@
     pub path: PathBuf,
     /// Arguments.
     pub arguments: Vec<OsString>,
+    /// The listening socket that it inherits as descriptor 4.
+    pub inherits: Option<Arc<TcpListener>>,
 }
 
 impl Program {
     /// The program in that file.
     pub fn new(path: impl Into<PathBuf>) -> Self {
-        Self { path: path.into(), arguments: vec![] }
+        Self { path: path.into(), arguments: vec![], inherits: None }
+    }
+
+    /// The same with a listening socket that the platform holds.
+    #[must_use]
+    pub fn inheriting(mut self, held: &TcpListener) -> Self {
+        self.inherits = Some(Arc::new(held.try_clone().unwrap()));
+        self
     }
 
     /// The same with a further argument.
@@ -51,8 +63,19 @@
 
     /// What starts it on a folder with its configuration.
     pub fn command(&self, folder: &Path) -> Command {
-        let mut command = Command::new(&self.path);
-        command.args(&self.arguments);
+        let Some(held) = &self.inherits else {
+            let mut command = Command::new(&self.path);
+            command.args(&self.arguments);
+            surround(&mut command, folder);
+            return command;
+        };
+        // A shell moves it to its number.
+        let mut command = Command::new("sh");
+        command
+            .args(["-c", "exec 4<&0 0</dev/null; exec \"$0\" \"$@\""])
+            .arg(&self.path)
+            .args(&self.arguments);
+        command.stdin(Stdio::from(OwnedFd::from(held.try_clone().unwrap()))).env("NODE_LISTEN_FD", "4");
         surround(&mut command, folder);
         command
     }
@@ -71,6 +94,7 @@
 
 fn surround(command: &mut Command, folder: &Path) {
     command.env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY").env_remove("NODE_NAME");
+    command.env_remove("NODE_OPS");
     command.env("NODE_CONFIG", folder.join("config.json")).env("NODE_STATE", folder.join("state"));
 }
 
@@ -128,12 +152,16 @@
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut before = VecDeque::new();
+        let mut ops = None;
         let address = loop {
             let mut line = String::new();
             assert!(log.read_line(&mut line).unwrap() > 0, "it ends before it is ready: {before:?}");
             if let Some(rest) = line.split("ready on ").nth(1) {
                 break rest.split(' ').next().unwrap().parse().unwrap();
             }
+            if let Some(rest) = line.split("on-call staff on ").nth(1) {
+                ops = Some(rest.trim_end().parse().unwrap());
+            }
             before.push_back(line.trim_end().to_owned());
         };
         let lines = Arc::new(Mutex::new(before));
@@ -147,7 +175,7 @@
                 kept.push_back(line);
             }
         });
-        Self { child, program: program.clone(), address, log: lines, folder }
+        Self { child, program: program.clone(), address, ops, log: lines, folder }
     }
 
     /// SIGKILL, then a new process on the same folder.
@@ -227,6 +255,19 @@
         files.filter_map(|file| Some(file.ok()?.metadata().ok()?.len())).sum()
     }
 
+    /// One call of on-call staff.
+    pub fn ops(&self, method: &str, call: &str) -> Http {
+        let mut caller = Client::connect(self.ops.expect("a second address"), PATIENCE).unwrap();
+        caller.ask(format!("{method} {call} HTTP/1.1\r\nHost: ops\r\nContent-Length: 0\r\n\r\n").as_bytes())
+    }
+
+    /// One of the figures that on-call staff are shown.
+    pub fn figure(&self, name: &str) -> u64 {
+        let text = String::from_utf8(self.ops("GET", "/status/metrics").body).unwrap();
+        let value = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.unwrap_or_else(|| panic!("{name} is not in {text}")).parse().unwrap()
+    }
+
     /// One request on a connection of its own.
     pub fn ask(&self, text: &[u8]) -> Http {
         Client::new(self).ask(text)
