--- a/crates/decision/src/book.rs
+++ b/crates/decision/src/book.rs
@@ -2,11 +2,13 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::{DestinationId, EndpointId, Message, MessageId, Micros};
 use crate::waiting::{Ticket, Waiting};
 
 /// A message that this sender owes a final answer.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Held {
     pub message: Message,
     pub deadline: Micros,
@@ -43,7 +45,7 @@
 }
 
 /// All messages that are held.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Book {
     held: HashMap<MessageId, Held>,
     /// Those that wait for a call.
@@ -62,6 +64,11 @@
         self.held.len()
     }
 
+    /// Those that are held, in no order.
+    pub fn ids(&self) -> impl Iterator<Item = MessageId> {
+        self.held.keys().copied()
+    }
+
     pub fn get(&self, id: &MessageId) -> Option<&Held> {
         self.held.get(id)
     }
--- a/crates/decision/src/calls.rs
+++ b/crates/decision/src/calls.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::{EndpointId, MessageId, Micros, Outcome, RouteId};
 
 /// A call holds a slot until all its messages have their outcomes.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Call {
     pub route: RouteId,
     pub endpoint: EndpointId,
@@ -30,7 +32,7 @@
 }
 
 /// All that are out.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Calls {
     calls: BTreeMap<u64, Call>,
     /// Attempts without an outcome, which may outlive their messages: their calls and ordered keys.
--- a/crates/decision/src/endpoints.rs
+++ b/crates/decision/src/endpoints.rs
@@ -2,10 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::{DestinationId, EndpointId, Entry, Kind, Listing, Micros, Outcome, RouteId};
 
 /// An endpoint.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Endpoint {
     pub destination: DestinationId,
     pub zone: u16,
@@ -41,14 +43,14 @@
 }
 
 /// The endpoints of a destination, and the listing of its common route: calls a second that it promises, and since when.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 struct Cell {
     ids: BTreeSet<EndpointId>,
     listed: (f64, Micros),
 }
 
 /// All that lists named and that something refers to.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Endpoints {
     all: HashMap<EndpointId, Endpoint>,
     /// By destination, so that no tick looks at those that nothing is held for.
--- a/crates/decision/src/estimate.rs
+++ b/crates/decision/src/estimate.rs
@@ -4,6 +4,8 @@
 
 use fastrand::Rng;
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::{Class, Decay, EndpointId, MessageId, Micros, Outcome};
 
 /// A rate of events that fades with `span`, after a further event.
@@ -22,7 +24,7 @@
 }
 
 /// Mean time of an answer and its mean deviation.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct AnswerTime(Option<(f64, f64)>);
 
 impl AnswerTime {
@@ -39,7 +41,7 @@
 }
 
 /// Calls served while all was well, over the seconds that took, both fading; and when last counted.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Served {
     calls: f64,
     seconds: f64,
@@ -75,7 +77,7 @@
 }
 
 /// Weights of what was sent within a span.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Spent(VecDeque<(Micros, f64)>);
 
 impl Spent {
@@ -96,7 +98,7 @@
 }
 
 /// A pace in calls a second, without bound at first; what it allows now, and as of when.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Pace {
     pub rate: f64,
     pub credit: f64,
@@ -128,7 +130,7 @@
 }
 
 /// The age from which on messages are given up by those who handed them in, as far as calls told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct GivenUpAge(pub Micros);
 
 impl GivenUpAge {
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -2,26 +2,28 @@
 //!
 //! Times are microseconds on the clock of the events; the module knows no other clock.
 
+use serde::{Deserialize, Serialize};
+
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
 
 /// Identifies a message at this sender; never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MessageId(pub u32);
 
 /// Identifies an endpoint: its address and port. It carries no meaning.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId(pub [u8; 6]);
 
 /// Identifies a destination.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct DestinationId(pub u16);
 
 /// What a breaker guards: a destination, or one endpoint of it where its routes are apart.
 pub type RouteId = (DestinationId, Option<EndpointId>);
 
 /// Where a keyed repeat is recognised.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Group {
     /// At every endpoint of the destination.
     All,
@@ -32,7 +34,7 @@
 }
 
 /// What repeating a message does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// Repeats do no harm.
     Repeatable,
@@ -58,7 +60,7 @@
 }
 
 /// How worth falls once the aim has passed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decay {
     /// Evenly, down to the late worth at the deadline.
     Line,
@@ -67,7 +69,7 @@
 }
 
 /// A class of message.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// What repeating does.
     pub effect: Effect,
@@ -84,14 +86,14 @@
 }
 
 /// A tenant and its share.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Messages a second, over all senders, within its share.
     pub quota: f64,
 }
 
 /// A kind of destination.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kind {
     /// Its endpoints are routes apart, each with limit, pace and outages of its own.
     pub routes_apart: bool,
@@ -100,7 +102,7 @@
 }
 
 /// What the weight of an endpoint's listing says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Weights {
     /// Nothing.
     None,
@@ -122,7 +124,7 @@
 }
 
 /// How destinations that nothing is sent to for long are remembered, and woken.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Dormant {
     /// A destination sleeps when nothing was sent to it for so long.
     pub after: Micros,
@@ -137,7 +139,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rules {
     /// A final answer is valid this long after the deadline.
     pub answer_slack: Micros,
@@ -158,7 +160,7 @@
 }
 
 /// What an instance is told at its start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// Classes of message.
     pub classes: Vec<Class>,
@@ -211,7 +213,7 @@
 }
 
 /// State of an endpoint in the list. It says nothing of health.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Listing {
     /// Listed.
     Ready,
@@ -222,7 +224,7 @@
 }
 
 /// An entry of the list of endpoints.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -239,7 +241,7 @@
 }
 
 /// A message handed to this sender, which owes it one final answer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// Its id.
     pub id: MessageId,
@@ -258,7 +260,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Delivered,
--- a/crates/decision/src/lines.rs
+++ b/crates/decision/src/lines.rs
@@ -2,10 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::{MessageId, Micros};
 
 /// Messages of one key, in the order of acceptance.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 struct Line {
     waiting: VecDeque<MessageId>,
     out: BTreeSet<(MessageId, u16)>,
@@ -14,7 +16,7 @@
 }
 
 /// All ordered keys.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Lines {
     lines: BTreeMap<u64, Line>,
     rests: BTreeSet<(Micros, u64)>,
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use dormant::Waking;
+use serde::{Deserialize, Serialize};
 
 use crate::book::{Book, Held};
 use crate::calls::{Calls, Ended};
@@ -19,6 +20,7 @@
 #[cfg(test)]
 mod oracle;
 pub(crate) mod route;
+mod takeover;
 mod view;
 
 use route::{FEW_SENDERS, MAX_SILENT, RESET_TIMEOUT, Route, State};
@@ -34,8 +36,10 @@
 const RESTART: Micros = 2_000_000;
 
 /// The decisions of one sender.
+#[derive(Serialize, Deserialize)]
 pub struct Policy {
     settings: Settings,
+    #[serde(skip)]
     rng: fastrand::Rng,
     now: Micros,
     endpoints: Endpoints,
--- a/crates/decision/src/policy/route.rs
+++ b/crates/decision/src/policy/route.rs
@@ -2,6 +2,8 @@
 
 use dormant::{Facts, Worst};
 
+use serde::{Deserialize, Serialize};
+
 use crate::estimate::{AnswerTime, Pace, Served, Spent, faded};
 use crate::interface::*;
 
@@ -28,7 +30,7 @@
 /// What each further message adds to the weight of a call at a cold destination.
 pub(crate) const BUNDLE_WEIGHT: f64 = 0.25;
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum State {
     #[default]
     Closed,
@@ -37,7 +39,7 @@
 }
 
 /// The three-state breaker: what counts, and when a trial is due.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Breaker {
     pub(crate) state: State,
     pub(crate) failures: u32,
@@ -94,7 +96,7 @@
 }
 
 /// Health and pace of what a breaker guards, as this sender saw it.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Route {
     pub(crate) breaker: Breaker,
     /// A wait that was told, or our own pause after a refusal that told none: nothing goes before it ends.
--- /dev/null
+++ b/crates/decision/src/policy/takeover.rs
@@ -0,0 +1,73 @@
+//! What one process of a sender hands to the next while both run. Nothing is decided here: the next one goes on as this
+//! one would have.
+
+use std::fmt;
+
+use super::Policy;
+use crate::interface::{EndpointId, MessageId, Micros, Settings};
+
+/// Another version's state that can't be read: go on as after a kill, with the journal alone.
+#[derive(Debug)]
+pub struct NotUnderstood(rmp_serde::decode::Error);
+
+impl fmt::Display for NotUnderstood {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "the state of the process before can't be read: {}", self.0)
+    }
+}
+
+impl std::error::Error for NotUnderstood {}
+
+impl Policy {
+    /// All that it knows, fields by their names, so that another version reads what it has in common.
+    ///
+    /// # Errors
+    /// Fails when there is no memory for it.
+    pub fn state(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+        rmp_serde::to_vec_named(self)
+    }
+
+    /// Goes on where another process is, under settings of its own; an end that was announced there is not here.
+    ///
+    /// # Errors
+    /// Fails when the state is none, or another version's.
+    pub fn taken_over(
+        state: &[u8],
+        settings: Settings,
+        seed: u64,
+        now: Micros,
+    ) -> Result<Self, NotUnderstood> {
+        let mut policy: Self = rmp_serde::from_slice(state).map_err(NotUnderstood)?;
+        policy.routes.settle_under(&settings);
+        policy.settings = settings;
+        policy.rng = fastrand::Rng::with_seed(seed);
+        policy.now = policy.now.max(now);
+        policy.reminder = None;
+        policy.unbound.clear();
+        if policy.stop_at.take().is_some() {
+            policy.book.waiting.touch_all();
+        }
+        Ok(policy)
+    }
+
+    /// Whether it holds a message.
+    pub fn holds(&self, message: MessageId) -> bool {
+        self.book.get(&message).is_some()
+    }
+
+    /// The messages that it holds, in order.
+    pub fn messages(&self) -> Vec<MessageId> {
+        let mut messages: Vec<_> = self.book.ids().collect();
+        messages.sort_unstable();
+        messages
+    }
+
+    /// Endpoints of destinations that told a wait which still runs, and until when.
+    pub fn waits(&self) -> Vec<(EndpointId, Micros)> {
+        let listed = self.endpoints.in_list().filter_map(|(id, _)| {
+            let route = self.routes.get(&self.endpoints.route(id)?)?;
+            Some((id, route.wait_until))
+        });
+        listed.filter(|(_, until)| *until > self.now).collect()
+    }
+}
--- a/crates/decision/src/routes.rs
+++ b/crates/decision/src/routes.rs
@@ -5,6 +5,8 @@
 
 use dormant::{Awake, Facts, Memory, Worst};
 
+use serde::{Deserialize, Serialize};
+
 use crate::endpoints::Endpoints;
 use crate::interface::{DestinationId, Dormant, EndpointId, Micros, RouteId, Rules, Settings};
 use crate::policy::route::Route;
@@ -13,7 +15,7 @@
 const SLEEP_AT_ONCE: usize = 64;
 
 /// All routes.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Routes {
     dormant: Option<Dormant>,
     rules: Rules,
@@ -36,6 +38,11 @@
         }
     }
 
+    /// The rules and the sleep that are so from now on.
+    pub fn settle_under(&mut self, settings: &Settings) {
+        (self.dormant, self.rules) = (settings.dormant, settings.rules.clone());
+    }
+
     pub fn get(&self, id: &RouteId) -> Option<&Route> {
         self.routes.get(id)
     }
--- a/crates/decision/src/waiting.rs
+++ b/crates/decision/src/waiting.rs
@@ -4,13 +4,15 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Bound::{Excluded, Included, Unbounded};
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::{DestinationId, MessageId, Micros};
 
 /// What is late goes after what is not; then the oldest aim goes first.
 pub(crate) type Place = (bool, Micros, MessageId);
 
 /// A message that waits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Ticket {
     pub id: MessageId,
     pub destination: DestinationId,
@@ -26,7 +28,7 @@
 type Queue = BTreeSet<(Micros, MessageId)>;
 
 /// What waits for one destination.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 struct Cell {
     queues: BTreeMap<(usize, usize), Queue>,
     ends: BTreeSet<(Micros, MessageId)>,
@@ -36,7 +38,7 @@
 }
 
 /// All that waits.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Waiting {
     cells: HashMap<DestinationId, Cell>,
     due: BTreeSet<(Micros, DestinationId)>,
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -95,6 +95,14 @@
         }
     }
 
+    /// Another process goes on with what this one knows.
+    pub fn hand_over(&mut self, settings: Settings) {
+        let state = self.policy.state().unwrap();
+        self.policy = Policy::taken_over(&state, settings, 42, self.now).unwrap();
+        self.reminders.clear();
+        self.tell(vec![]);
+    }
+
     pub fn message(&mut self, class: usize, key: Option<u64>, time_left: Micros) -> Message {
         self.next += 1;
         let id = MessageId(self.next);
--- a/crates/dormant/src/awake.rs
+++ b/crates/dormant/src/awake.rs
@@ -3,10 +3,13 @@
 use std::collections::{BTreeSet, HashSet};
 use std::hash::Hash;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Micros;
 
 /// Those that are awake. Each is looked at once in a while, and not whenever something happens to it.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(bound(deserialize = "K: Deserialize<'de> + Eq + Hash + Ord"))]
 pub struct Awake<K> {
     after: Option<Micros>,
     awake: HashSet<K>,
--- a/crates/dormant/src/memory.rs
+++ b/crates/dormant/src/memory.rs
@@ -4,6 +4,8 @@
 use std::fmt;
 use std::hash::Hash;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Micros;
 use crate::packed::{Facts, Packed, Scale, Worst};
 
@@ -31,7 +33,8 @@
 /// What is remembered of those that sleep, by key: so many at most. A wait that runs is never dropped for room; of the
 /// others what is worth least goes first: what nothing is known of any more, then what was well, then what was not, the
 /// longest asleep first.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(bound(deserialize = "K: Deserialize<'de> + Eq + Hash + Ord"))]
 pub struct Memory<K> {
     most: usize,
     remember: Micros,
--- a/crates/dormant/src/packed.rs
+++ b/crates/dormant/src/packed.rs
@@ -1,5 +1,7 @@
 //! What is remembered of one destination, in 28 bytes.
 
+use serde::{Deserialize, Serialize};
+
 use crate::Micros;
 
 /// Times are kept in steps of this: a wait is rounded up, anything else down.
@@ -12,7 +14,7 @@
 const ONE: f64 = 32_768.0;
 
 /// The worst that a destination's last calls came to.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Worst {
     /// Nothing bad.
     #[default]
@@ -45,7 +47,7 @@
 }
 
 /// The same, packed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct Packed {
     wait: u32,
     ill: u32,
@@ -60,7 +62,7 @@
 }
 
 /// Packs and unpacks times from one beginning on.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct Scale {
     base: Micros,
 }
--- a/crates/dormant/src/waking.rs
+++ b/crates/dormant/src/waking.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::hash::Hash;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Micros;
 
 /// Grants that are saved up while none wakes: as many as fall into this time.
@@ -10,7 +12,8 @@
 
 /// Lets those that wake make their first call: so many a second, and so many of these calls out at once. The others line
 /// up, the fullest worth first.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(bound(deserialize = "K: Deserialize<'de> + Eq + Hash + Ord"))]
 pub struct Waking<K> {
     /// Grants a second; without it all may go at once.
     rate: Option<f64>,
--- a/crates/ops/src/call.rs
+++ b/crates/ops/src/call.rs
@@ -1,10 +1,12 @@
 //! The calls, as a request line names them.
 
+use serde::{Deserialize, Serialize};
+
 /// An id of more bytes is not looked for.
 pub const ID_LIMIT: usize = 256;
 
 /// What is asked of the sender.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Call {
     /// Does this process take clients?
     Status,
--- a/crates/ops/src/door.rs
+++ b/crates/ops/src/door.rs
@@ -18,6 +18,13 @@
     Open,
     /// Clients are sent away since then; connections are answered, and closed from [`LINGER`] on.
     Standby(Micros),
+    /// Another process takes clients since then; connections that are here are answered, and closed from [`LINGER`] on.
+    HandedOver {
+        /// Since when.
+        since: Micros,
+        /// What the front is told, which is so of both.
+        ready: bool,
+    },
     /// The process ends: connections that were answered are closed as soon as they are idle.
     Closing,
 }
@@ -28,6 +35,7 @@
     pub fn standby(self, now: Micros) -> Self {
         match self {
             Self::Open => Self::Standby(now),
+            Self::HandedOver { since, .. } => Self::HandedOver { since, ready: false },
             other => other,
         }
     }
@@ -37,13 +45,19 @@
     pub fn active(self) -> Self {
         match self {
             Self::Standby(_) => Self::Open,
+            Self::HandedOver { since, .. } => Self::HandedOver { since, ready: true },
             other => other,
         }
     }
 
     /// Whether the front is told that clients may come.
     pub fn ready(self) -> bool {
-        self == Self::Open
+        matches!(self, Self::Open | Self::HandedOver { ready: true, .. })
+    }
+
+    /// Whether this process takes new connections.
+    pub fn accepts(self) -> bool {
+        !matches!(self, Self::HandedOver { .. })
     }
 
     /// Whether an answer is the last on its connection.
@@ -54,7 +68,7 @@
     /// From when on connections without an open request are closed, while clients are sent away.
     pub fn close_idle_at(self) -> Option<Micros> {
         match self {
-            Self::Standby(since) => Some(since + LINGER),
+            Self::Standby(since) | Self::HandedOver { since, .. } => Some(since + LINGER),
             Self::Open | Self::Closing => None,
         }
     }
--- a/crates/sender/src/directory.rs
+++ b/crates/sender/src/directory.rs
@@ -85,11 +85,65 @@
         }
     }
 
+    /// What another process knew.
+    pub fn restore(
+        &mut self,
+        endpoints: Vec<handover::Endpoint>,
+        ids: Vec<(String, EndpointId)>,
+        given: u64,
+    ) {
+        self.given = given;
+        for known in endpoints {
+            let handover::Endpoint { id, name, address, zone, kind, group, listing, weight, gone } = known;
+            let place = |carrier: &&Rc<dyn Carrier>| address.as_ref().is_some_and(|a| carrier.place(id, a));
+            let carrier = self.carriers.iter().find(place).cloned();
+            let kind = kind.map_or(usize::MAX, usize::from);
+            let bundle = self.kinds.get(kind).map_or(1, |kind| kind.bundle);
+            if gone {
+                self.gone.insert(id);
+            }
+            self.destinations.insert(group);
+            let (name, named) = (name.into(), self.lists);
+            let known = Known { name, group, kind, carrier, bundle, listing, zone, weight, gone, named };
+            self.endpoints.insert(id, known);
+        }
+        let strays = ids.iter().filter(|(_, id)| !self.endpoints.contains_key(id));
+        self.strays = strays.map(|(name, _)| name.clone()).collect();
+        self.ids = ids.into_iter().collect();
+    }
+
+    /// What is known, for another process: endpoints, ids by name, and how many ids were given out.
+    pub fn save(&self) -> (Vec<handover::Endpoint>, Vec<(String, EndpointId)>, u64) {
+        let saved = |(id, known): (&EndpointId, &Known)| handover::Endpoint {
+            id: *id,
+            name: known.name.to_string(),
+            address: known.carrier.as_ref().and_then(|carrier| carrier.address(*id)),
+            zone: known.zone,
+            kind: u16::try_from(known.kind).ok(),
+            group: known.group,
+            listing: known.listing,
+            weight: known.weight,
+            gone: known.gone,
+        };
+        let ids = self.ids.iter().map(|(name, id)| (name.clone(), *id));
+        (self.endpoints.iter().map(saved).collect(), ids.collect(), self.given)
+    }
+
+    /// The id of an endpoint that is listed.
+    pub fn listed_id(&self, name: &str) -> Option<EndpointId> {
+        self.ids.get(name).copied().filter(|id| self.endpoints.contains_key(id))
+    }
+
     /// Whether a list has named the destination.
     pub fn names_destination(&self, destination: u16) -> bool {
         self.destinations.contains(&destination)
     }
 
+    /// Names of classes, kinds and zones, which positions refer to.
+    pub fn names(&self) -> [Vec<String>; 3] {
+        [self.names.classes.clone(), self.names.kinds.clone(), self.names.zones.clone()]
+    }
+
     /// The position of a class among the settings'.
     pub fn class(&self, name: &str) -> Option<usize> {
         self.names.classes.iter().position(|class| class == name)
@@ -382,6 +436,9 @@
             self.0.borrow_mut().insert(endpoint, address.to_owned());
             true
         }
+        fn address(&self, endpoint: EndpointId) -> Option<String> {
+            self.0.borrow().get(&endpoint).cloned()
+        }
         fn forget(&self, endpoint: EndpointId) {
             self.0.borrow_mut().remove(&endpoint);
         }
@@ -395,6 +452,9 @@
         fn out(&self) -> usize {
             0
         }
+        fn outs(&self) -> Vec<(MessageId, u16, EndpointId)> {
+            vec![]
+        }
     }
 
     /// A directory, and what the module knows by what it was told.
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -10,6 +10,7 @@
 
 use decision::interface::*;
 use decision::policy::Policy;
+use handover::State;
 use journal::{GivenUp, Journal, Live, Record, Remembered, Taken};
 use ops::call::Call;
 use ops::door::Door;
@@ -20,6 +21,7 @@
 
 use crate::config::{self, Config};
 use crate::directory::{Directory, SLICE};
+use crate::handover::{Before, Link};
 use crate::http;
 use crate::kept;
 use crate::peers::Peers;
@@ -69,6 +71,11 @@
     whole_list: Rc<Notify>,
     discovery: watch::Sender<SocketAddr>,
     inbound: UnboundedSender<Inbound>,
+    /// The list's version.
+    index: u64,
+    /// Who asks to take over, and what is left of the process before this one.
+    successor: Option<Link>,
+    before: Option<Rc<Before>>,
     door: watch::Sender<Door>,
     ends: Ends,
     /// Where it is kept who is held out.
@@ -106,21 +113,51 @@
     pub door: watch::Sender<Door>,
     /// Who is held out by hand.
     pub held_out: HeldOut,
+    /// The fronts have begun.
+    pub begun: bool,
+    /// What another process knew, which this one goes on with.
+    pub taken_over: Option<(State, Policy)>,
+    /// What is left of the process before.
+    pub before: Option<Rc<Before>>,
+    /// Endpoints of destinations that told another process a wait, and until when.
+    pub waits: Vec<(String, Micros)>,
+    /// Ends so far.
+    pub ends: Option<Ends>,
     /// The system's clock was set back since the last process.
     pub set_back: bool,
 }
 
-/// Runs the sender until it is asked to end and has.
+/// How the sender ended.
+pub enum Ended {
+    /// It was asked to, and has nothing left to do that the next process can't.
+    Done,
+    /// A process that was started beside it is to take over: what it is to be told, and what is left here.
+    HandsOver {
+        /// Who asks.
+        successor: Link,
+        /// What it is told.
+        state: Box<State>,
+        /// Ends so far.
+        ends: Ends,
+        /// Notes to other senders, which the other process is to have.
+        peers: Option<Peers>,
+    },
+}
+
+/// Runs the sender until it is asked to end and has, or another process is to take over.
 ///
 /// # Errors
 /// Fails when a front can't begin.
 pub async fn run(
-    config: Config,
+    config: &Config,
     parts: Parts,
     inbound: UnboundedSender<Inbound>,
-    mut events: UnboundedReceiver<Inbound>,
-) -> Result<(), String> {
-    let Parts { clock, journal, fronts, carriers, peers, door, held_out, set_back } = parts;
+    events: &mut UnboundedReceiver<Inbound>,
+) -> Result<Ended, String> {
+    let Parts { clock, journal, fronts, carriers, peers, door, held_out, set_back, begun, .. } = parts;
+    let (from, before, waits, ends) = (parts.taken_over, parts.before, parts.waits, parts.ends);
+    let new = || Policy::new(config.settings.clone(), config.seed, clock.now());
+    let (from, policy) = from.map_or_else(|| (None, new()), |(state, policy)| (Some(state), policy));
     let (notices, owed) = unbounded_channel();
     let whole_list = Rc::new(Notify::new());
     let (discovery, found) = watch::channel(config.discovery);
@@ -134,8 +171,11 @@
         whole_list: whole_list.clone(),
         discovery,
         inbound: inbound.clone(),
+        index: config.known.index,
+        successor: None,
+        before,
         door,
-        ends: Ends::new(config.names.classes.iter().cloned()),
+        ends: ends.unwrap_or_else(|| Ends::new(config.names.classes.iter().cloned())),
         state: config.state.clone(),
         stop_at: None,
         timers: BTreeSet::new(),
@@ -145,23 +185,26 @@
         unwritten: Vec::new(),
         complain_at: 0,
         unsaid: Vec::new(),
-        policy: Policy::new(config.settings.clone(), config.seed, clock.now()),
+        policy,
+    };
+    let first = match from {
+        Some(state) => driver.go_on(state),
+        None => driver.start(config.known.clone(), set_back, waits),
     };
-    let index = config.known.index;
-    let first = driver.start(config.known, set_back);
+    let index = driver.index;
     driver.turn(first);
 
     let mut places = Vec::new();
-    for front in &fronts {
+    for front in fronts.iter().filter(|_| !begun) {
         places.push(front.clone().begin().map_err(|e| format!("listen: {e}"))?.to_string());
     }
     // On-call staff learn of a process that takes clients from when on it does.
-    if let Some(address) = config.ops {
+    if let (Some(address), false) = (config.ops, begun) {
         let place = http::ops::listen(address, inbound.clone()).map_err(|e| format!("ops: {e}"))?;
         eprintln!("{} answers on-call staff on {place}", config.name);
     }
     tokio::task::spawn_local(platform::notices(found.clone(), owed, inbound.clone()));
-    tokio::task::spawn_local(platform::watch(found, index, whole_list, inbound));
+    let watch = tokio::task::spawn_local(platform::watch(found, index, whole_list, inbound));
     eprintln!(
         "{} is ready on {} with {} messages in hand",
         config.name,
@@ -173,8 +216,9 @@
     let mut turned = tokio::time::Instant::now();
     loop {
         let due = driver.timers.first().map_or(Micros::MAX / 2, |timer| timer.0);
-        // What is looked at now and then: an end that is near, a journal that could not be written.
-        let watchful = driver.stop_at.is_some() || !driver.unwritten.is_empty();
+        // What is looked at now and then: an end that is near, who asks to take over, a journal that could not be
+        // written.
+        let watchful = driver.stop_at.is_some() || driver.successor.is_some() || !driver.unwritten.is_empty();
         let due = if watchful { due.min(clock.now() + 50_000) } else { due };
         let due = if driver.directory.is_behind() { 0 } else { due };
         let first = tokio::select! {
@@ -204,16 +248,88 @@
             driver.turn(said);
         }
         if driver.may_end(fronts.iter().map(|front| front.open()).sum()) {
-            return Ok(());
+            return Ok(Ended::Done);
+        }
+        let now = driver.may_hand_over();
+        if let Some(successor) = driver.successor.take_if(|_| now) {
+            match driver.state(fronts.iter().map(|front| front.requests()).max().unwrap_or(0)) {
+                Ok(state) => {
+                    watch.abort();
+                    let (state, ends, peers) = (Box::new(state), driver.ends, driver.peers);
+                    return Ok(Ended::HandsOver { successor, state, ends, peers });
+                }
+                Err(e) => eprintln!("the state can't be handed over: {e}"),
+            }
         }
     }
 }
 
 impl Driver {
+    /// What another process knew, with what is in the journal that it gave up.
+    fn go_on(&mut self, state: State) -> Vec<Event> {
+        let State { endpoints, ids, given, index, held, next_message, .. } = state;
+        self.directory.restore(endpoints, ids, given);
+        (self.index, self.next_message) = (index, next_message);
+        let requests: HashMap<u32, u64> =
+            held.iter().map(|(_, number, request)| (*number, *request)).collect();
+        for (number, live) in self.journal.live().iter() {
+            if let Some(how) = live.given_up {
+                self.unsaid.push((*number, how, live.taken.id.clone()));
+                continue;
+            }
+            let request = requests.get(number).copied().unwrap_or(0);
+            self.held.insert(live.taken.id.clone(), (*number, request));
+            if let Some(last) = live.attempts.last() {
+                self.attempts.insert(*number, last.number + 1);
+            }
+        }
+        // Guards against a module and a journal that don't agree: the journal is what binds.
+        let ids = self.policy.messages().into_iter();
+        ids.filter(|id| !self.held.values().any(|held| held.0 == id.0)).map(Event::Left).collect()
+    }
+
+    /// Whether another process may take over now: all that is said is written, and nothing is left of the one before.
+    fn may_hand_over(&self) -> bool {
+        let written = self.unwritten.is_empty() && self.unsaid.is_empty() && self.fresh.is_empty();
+        let alone = self.before.as_ref().is_none_or(|before| before.is_gone());
+        written && alone && !self.directory.is_behind()
+    }
+
+    /// All that the journal does not hold.
+    fn state(&self, requests: u64) -> Result<State, String> {
+        let (endpoints, ids, given) = self.directory.save();
+        let held = self.held.iter().map(|(id, (number, request))| (id.clone(), *number, *request));
+        let waits = self.policy.waits().into_iter();
+        let standby = match *self.door.borrow() {
+            Door::Standby(since) => Some(since),
+            _ => None,
+        };
+        Ok(State {
+            at: self.clock.now(),
+            names: self.directory.names(),
+            policy: self.policy.state().map_err(|e| e.to_string())?.into(),
+            endpoints,
+            ids,
+            given,
+            index: self.index,
+            held: held.collect(),
+            next_message: self.next_message,
+            requests,
+            out: self.directory.carriers().iter().flat_map(|carrier| carrier.outs()).collect(),
+            waits: waits.map(|(id, until)| (self.directory.name(id).to_string(), until)).collect(),
+            standby,
+        })
+    }
+
     /// The list as last known, and what an earlier process left in the journal.
-    fn start(&mut self, known: ListBody, set_back: bool) -> Vec<Event> {
+    fn start(&mut self, known: ListBody, set_back: bool, waits: Vec<(String, Micros)>) -> Vec<Event> {
         let now = self.clock.now();
         let mut said = vec![self.listed(ListBody { snapshot: true, ..known })];
+        // A wait that the process before was told binds this one too.
+        for (name, until) in waits {
+            let endpoint = self.directory.listed_id(&name).filter(|_| until > now);
+            said.extend(endpoint.map(|endpoint| Event::Wait { endpoint, wait: until - now }));
+        }
         let mut live: Vec<(u32, Live)> = self.journal.live().iter().map(|(n, l)| (*n, l.clone())).collect();
         live.sort_unstable_by_key(|live| live.0);
         for (number, live) in live {
@@ -249,11 +365,15 @@
 
     /// Turns what a task says into events for the module.
     fn fold(&mut self, inbound: Inbound, said: &mut Vec<Event>) {
+        if let Inbound::Listed(platform::Listed(list)) = &inbound {
+            self.index = list.index;
+        }
         match inbound {
             Inbound::HandedIn(message) => self.handed_in(message, said),
             Inbound::Withdrawn { id, request } => self.withdrawn(&id, request, said),
             Inbound::CallOver(ends) => ends.into_iter().for_each(|end| said.push(self.ended(end))),
             Inbound::Event(event) => said.push(event),
+            Inbound::Successor(link) => self.successor = Some(link),
             Inbound::Listed(platform::Listed(list)) if self.directory.wants_slices(&list) => {
                 if self.directory.put_off(list).is_err() {
                     eprintln!("the list changes faster than it can be taken in: it is asked for as a whole");
--- /dev/null
+++ b/crates/sender/src/handover.rs
@@ -0,0 +1,416 @@
+//! The two sides of a hand-over, over a socket in the folder that lasts. What is said and when stands in the package
+//! `handover`; here it is carried out.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fs::{self, File};
+use std::io;
+use std::os::fd::AsRawFd;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use decision::interface::{EndpointId, Event, MessageId, Micros};
+use handover::{Answer, Outs, State, ToNew, ToOld, frame, step};
+use ops::call::Call;
+use ops::door::Door;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{oneshot, watch};
+use tokio::task::{AbortHandle, JoinHandle};
+use tokio::time::timeout;
+
+use crate::ports::{Carrier, Clock, Front, HandedIn, Inbound, Pace, Part, Told};
+
+const SOCKET: &str = "successor";
+/// Who connects and does not ask within this time is sent away.
+const ASK_WITHIN: Duration = Duration::from_millis(500);
+/// An old process looks so often whether it has nothing left to carry.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// The socket's name by way of the open folder: a path to a socket may have a hundred bytes only.
+fn name(folder: &File) -> PathBuf {
+    Path::new("/proc/self/fd").join(folder.as_raw_fd().to_string()).join(SOCKET)
+}
+
+/// The two processes' connection.
+#[derive(Debug)]
+pub struct Link {
+    reader: OwnedReadHalf,
+    writer: OwnedWriteHalf,
+}
+
+impl Link {
+    async fn send(&mut self, message: &impl Serialize) -> Result<(), String> {
+        let frame = frame::write(message).map_err(|e| e.to_string())?;
+        self.writer.write_all(&frame).await.map_err(|e| e.to_string())
+    }
+
+    async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, String> {
+        receive(&mut self.reader).await
+    }
+
+    /// Both ways as channels. What waits to be written is bounded by clients' connections and calls that are out. The
+    /// task ends once all that was said is written.
+    fn split<Out: Serialize + 'static, In: DeserializeOwned + 'static>(
+        self,
+    ) -> (UnboundedSender<Out>, UnboundedReceiver<In>, JoinHandle<()>) {
+        let Self { mut reader, mut writer } = self;
+        let (say, mut said) = unbounded_channel::<Out>();
+        let (hear, heard) = unbounded_channel();
+        let writing = tokio::task::spawn_local(async move {
+            while let Some(message) = said.recv().await {
+                let Ok(frame) = frame::write(&message) else { return };
+                if writer.write_all(&frame).await.is_err() {
+                    return;
+                }
+            }
+        });
+        tokio::task::spawn_local(async move {
+            while let Ok(message) = receive(&mut reader).await {
+                if hear.send(message).is_err() {
+                    return;
+                }
+            }
+        });
+        (say, heard, writing)
+    }
+}
+
+async fn receive<T: DeserializeOwned>(reader: &mut OwnedReadHalf) -> Result<T, String> {
+    let mut head = [0; 4];
+    reader.read_exact(&mut head).await.map_err(|e| e.to_string())?;
+    let mut body = vec![0; frame::body_length(head).map_err(|e| e.to_string())?];
+    reader.read_exact(&mut body).await.map_err(|e| e.to_string())?;
+    frame::read(&body).map_err(|e| e.to_string())
+}
+
+/// Listens for a process that is started beside this one. Only who holds the journal's lock does.
+///
+/// # Errors
+/// Fails when the socket can't be made.
+pub fn listen(state: &Path, inbound: UnboundedSender<Inbound>) -> io::Result<AbortHandle> {
+    let folder = File::open(state)?;
+    match fs::remove_file(name(&folder)) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+        _ => {}
+    }
+    let listener = UnixListener::bind(name(&folder))?;
+    let listening = tokio::task::spawn_local(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(LOOK).await;
+                continue;
+            };
+            let (reader, writer) = stream.into_split();
+            let mut link = Link { reader, writer };
+            let asked = timeout(ASK_WITHIN, link.receive()).await;
+            if matches!(asked, Ok(Ok(ToOld::Ask))) && inbound.send(Inbound::Successor(link)).is_err() {
+                return;
+            }
+        }
+    });
+    Ok(listening.abort_handle())
+}
+
+/// The process that holds the folder, where one listens.
+pub async fn connect(state: &Path) -> Option<Link> {
+    let folder = File::open(state).ok()?;
+    let (reader, writer) = UnixStream::connect(name(&folder)).await.ok()?.into_split();
+    Some(Link { reader, writer })
+}
+
+/// Asks it for its state.
+///
+/// # Errors
+/// Fails when the other process breaks off, or says something else.
+pub async fn ask(mut link: Link) -> Result<(Link, State), String> {
+    link.send(&ToOld::Ask).await?;
+    match link.receive().await? {
+        ToNew::State(state) => Ok((link, *state)),
+        other => Err(format!("the process before says {other:?}")),
+    }
+}
+
+/// Tells the process before that the journal is taken. Where its state is not understood, waits until nothing of its
+/// is out any more.
+///
+/// # Errors
+/// Fails when the other process breaks off.
+pub async fn took(link: &mut Link, understood: bool) -> Result<(), String> {
+    link.send(&ToOld::Took { understood }).await?;
+    if understood {
+        return Ok(());
+    }
+    match link.receive().await? {
+        ToNew::Silent => Ok(()),
+        other => Err(format!("the process before says {other:?}")),
+    }
+}
+
+/// Tells a process that asked the state, and hears whether it took over, and whether it understood.
+///
+/// # Errors
+/// Fails when it did not take over, as far as is known.
+pub async fn offer(mut link: Link, state: &State) -> Result<(Link, bool), String> {
+    link.send(&ToNew::State(Box::new(state.clone()))).await?;
+    match timeout(Duration::from_micros(step::TAKE_WITHIN), link.receive()).await {
+        Ok(Ok(ToOld::Took { understood })) => Ok((link, understood)),
+        Ok(Ok(other)) => Err(format!("it says {other:?}")),
+        Ok(Err(e)) => Err(e),
+        Err(_) => Err("it says nothing".to_owned()),
+    }
+}
+
+/// What an old process still has.
+pub struct Carried {
+    /// The time.
+    pub clock: Clock,
+    /// Clients' connections.
+    pub fronts: Vec<Rc<dyn Front>>,
+    /// Calls.
+    pub carriers: Vec<Rc<dyn Carrier>>,
+    /// Tells the fronts whether clients may come.
+    pub door: watch::Sender<Door>,
+    /// The figures as they were.
+    pub ends: ops::figures::Ends,
+}
+
+impl Carried {
+    fn out(&self) -> usize {
+        self.carriers.iter().map(|carrier| carrier.out()).sum()
+    }
+
+    fn clients(&self) -> usize {
+        self.fronts.iter().map(|front| front.open()).sum()
+    }
+
+    fn cancel(&self, message: MessageId, attempt: u16) {
+        self.carriers.iter().for_each(|carrier| carrier.cancel(message, attempt));
+    }
+}
+
+/// Carries what an old process still has to its end, on behalf of the one that decides now.
+///
+/// # Errors
+/// Fails when the new process is gone: what is out may have run, as the journal has it.
+pub async fn carry(
+    link: Link,
+    understood: bool,
+    carried: Carried,
+    events: &mut UnboundedReceiver<Inbound>,
+) -> Result<(), String> {
+    let clock = carried.clock;
+    let ready = carried.door.borrow().ready();
+    carried.door.send_replace(Door::HandedOver { since: clock.now(), ready });
+    let (say, mut heard, writing) = link.split::<ToNew, ToOld>();
+    if !understood {
+        let out = carried.carriers.iter().flat_map(|carrier| carrier.outs());
+        out.collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|(message, attempt, _)| carried.cancel(message, attempt));
+        while carried.out() > 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let _ = say.send(ToNew::Silent);
+    }
+    let mut waiting: HashMap<u64, oneshot::Sender<Answer>> = HashMap::new();
+    let mut callers: HashMap<u64, oneshot::Sender<Told>> = HashMap::new();
+    let (mut number, mut stopping) = (0, None);
+    let mut look = tokio::time::interval(LOOK);
+    loop {
+        tokio::select! {
+            biased;
+            inbound = events.recv() => {
+                number += 1;
+                let message = match inbound {
+                    Some(Inbound::HandedIn(HandedIn { taken, request, answer, .. })) => {
+                        waiting.insert(number, answer);
+                        ToNew::HandedIn { number, taken: Arc::unwrap_or_clone(taken), request }
+                    }
+                    Some(Inbound::Withdrawn { id, request }) => ToNew::Withdrawn { id, request },
+                    // Calls that were called off for a process that does not know of them.
+                    Some(Inbound::CallOver(_)) if !understood => continue,
+                    Some(Inbound::CallOver(over)) => ToNew::CallOver(over),
+                    Some(Inbound::Event(Event::Wait { endpoint, wait })) => ToNew::Wait(endpoint, wait),
+                    Some(Inbound::Event(Event::Kept { lost })) => ToNew::Kept { lost },
+                    Some(Inbound::Ops(Call::Status, answer)) => {
+                        let _ = answer.send(Told { status: 200, text: "handed over\n".into() });
+                        continue;
+                    }
+                    Some(Inbound::Ops(Call::Metrics, answer)) => {
+                        let relayed = carried.carriers.iter().map(|carrier| carrier.written()).sum();
+                        let now = ops::figures::Now { relayed, ..Default::default() };
+                        let _ = answer.send(Told { status: 200, text: carried.ends.text(now) });
+                        continue;
+                    }
+                    Some(Inbound::Ops(call, answer)) => {
+                        let door = *carried.door.borrow();
+                        carried.door.send_replace(match call {
+                            Call::Standby => door.standby(clock.now()),
+                            Call::Active => door.active(),
+                            _ => door,
+                        });
+                        callers.insert(number, answer);
+                        ToNew::Ops { number, call }
+                    }
+                    Some(Inbound::Terminate) => {
+                        stopping = stopping.or(Some(clock.now()));
+                        carried.door.send_replace(Door::Closing);
+                        continue;
+                    }
+                    Some(_) => continue,
+                    None => return Ok(()),
+                };
+                let _ = say.send(message);
+            }
+            message = heard.recv() => match message {
+                Some(ToOld::Answer(number, answer)) => {
+                    if let Some(waits) = waiting.remove(&number) {
+                        let _ = waits.send(answer);
+                    }
+                }
+                Some(ToOld::Told(number, status, text)) => {
+                    if let Some(waits) = callers.remove(&number) {
+                        let _ = waits.send(Told { status, text });
+                    }
+                }
+                Some(ToOld::Cancel(message, attempt)) => carried.cancel(message, attempt),
+                Some(ToOld::Ask | ToOld::Took { .. }) => {}
+                None => return Err("the process that took over is gone".to_owned()),
+            },
+            _ = look.tick() => {
+                if events.is_empty() && step::may_end(carried.out(), carried.clients(), stopping, clock.now()) {
+                    drop(say);
+                    let _ = writing.await;
+                    return Ok(());
+                }
+            }
+        }
+    }
+}
+
+/// The old process, as what has calls out for the new one.
+pub struct Before {
+    outs: RefCell<Outs>,
+    say: UnboundedSender<ToOld>,
+    /// It is still there.
+    there: Cell<bool>,
+}
+
+impl Before {
+    /// Whether nothing is left of the old process.
+    pub fn is_gone(&self) -> bool {
+        !self.there.get()
+    }
+
+    /// Hears the old process from now on, until it is gone.
+    pub fn follow(
+        link: Link,
+        out: Vec<(MessageId, u16, EndpointId)>,
+        clock: Clock,
+        class: impl Fn(&str) -> Option<usize> + 'static,
+        inbound: UnboundedSender<Inbound>,
+        gone: impl FnOnce() + 'static,
+    ) -> Rc<Self> {
+        let (say, mut heard, _) = link.split::<ToOld, ToNew>();
+        let before =
+            Rc::new(Self { outs: RefCell::new(Outs::new(out)), say: say.clone(), there: Cell::new(true) });
+        let (followed, began) = (before.clone(), clock.now());
+        tokio::task::spawn_local(async move {
+            while let Some(message) = heard.recv().await {
+                followed.heard(message, &class, &inbound);
+            }
+            followed.there.set(false);
+            let lost = followed.outs.borrow_mut().lost(clock.now().saturating_sub(began));
+            for over in lost {
+                let _ = inbound.send(Inbound::CallOver(vec![over]));
+            }
+            gone();
+        });
+        before
+    }
+
+    fn heard(
+        &self,
+        message: ToNew,
+        class: &impl Fn(&str) -> Option<usize>,
+        inbound: &UnboundedSender<Inbound>,
+    ) {
+        let event = match message {
+            ToNew::HandedIn { number, taken, request } => {
+                let (answer, answered) = oneshot::channel();
+                let say = self.say.clone();
+                tokio::task::spawn_local(async move {
+                    let _ = say.send(ToOld::Answer(number, answered.await.unwrap_or(Answer::Failed)));
+                });
+                let Some(class) = class(&taken.class) else {
+                    let _ = answer.send(Answer::Failed);
+                    return;
+                };
+                Inbound::HandedIn(HandedIn { taken: Arc::new(taken), class, request, answer })
+            }
+            ToNew::Ops { number, call } => {
+                let (answer, answered) = oneshot::channel();
+                let say = self.say.clone();
+                tokio::task::spawn_local(async move {
+                    let ending = Told { status: 503, text: "ending\n".into() };
+                    let Told { status, text } = answered.await.unwrap_or(ending);
+                    let _ = say.send(ToOld::Told(number, status, text));
+                });
+                Inbound::Ops(call, answer)
+            }
+            ToNew::Withdrawn { id, request } => Inbound::Withdrawn { id, request },
+            ToNew::CallOver(over) => match self.outs.borrow_mut().ended(over) {
+                over if over.is_empty() => return,
+                over => Inbound::CallOver(over),
+            },
+            ToNew::Wait(endpoint, wait) => Inbound::Event(Event::Wait { endpoint, wait }),
+            ToNew::Kept { lost } => Inbound::Event(Event::Kept { lost }),
+            ToNew::State(_) | ToNew::Silent => return,
+        };
+        let _ = inbound.send(event);
+    }
+}
+
+impl Carrier for Before {
+    fn place(&self, _: EndpointId, _: &str) -> bool {
+        false
+    }
+
+    fn address(&self, _: EndpointId) -> Option<String> {
+        None
+    }
+
+    fn forget(&self, _: EndpointId) {}
+
+    /// Nothing is placed here, so that nothing is started here.
+    fn start(&self, _: EndpointId, _: Vec<Part>, _: Micros, _: Pace) {}
+
+    fn cancel(&self, message: MessageId, attempt: u16) {
+        if self.outs.borrow().contains(message, attempt) {
+            let _ = self.say.send(ToOld::Cancel(message, attempt));
+        }
+    }
+
+    fn probe(&self, _: EndpointId) {}
+
+    fn close_idle(&self, _: EndpointId) {}
+
+    fn written(&self) -> u64 {
+        0
+    }
+
+    fn out(&self) -> usize {
+        self.outs.borrow().len()
+    }
+
+    fn outs(&self) -> Vec<(MessageId, u16, EndpointId)> {
+        Vec::new()
+    }
+}
--- a/crates/sender/src/http/calls.rs
+++ b/crates/sender/src/http/calls.rs
@@ -35,8 +35,6 @@
     pub connect: Micros,
     /// Endpoints close connections that stood idle so long.
     pub idle: Micros,
-    /// Connections to endpoints at most, idle ones counted.
-    pub connections: usize,
     /// Names of a load report's fields.
     pub report: Vec<String>,
 }
@@ -51,6 +49,8 @@
 
 struct Shared {
     limits: Limits,
+    /// Connections to endpoints at most, idle ones counted.
+    most: Cell<usize>,
     /// Where each endpoint is.
     places: RefCell<HashMap<EndpointId, SocketAddr>>,
     inbound: UnboundedSender<Inbound>,
@@ -65,6 +65,7 @@
 
 /// An attempt that is out.
 struct Out {
+    endpoint: EndpointId,
     off: CallOff,
     /// Its last byte may have been written.
     may_run: Rc<Cell<bool>>,
@@ -105,11 +106,12 @@
 }
 
 impl Calls {
-    /// No calls yet. Idle connections are looked after by a task of their own.
-    pub fn new(limits: Limits, inbound: UnboundedSender<Inbound>) -> Self {
+    /// No calls yet, and so many connections at most, idle ones counted. Idle connections are looked after by a task of their own.
+    pub fn new(limits: Limits, most: usize, inbound: UnboundedSender<Inbound>) -> Self {
         let (places, idle, out) = (RefCell::default(), RefCell::default(), RefCell::default());
-        let written = Cell::new(0);
-        let calls = Self(Rc::new(Shared { limits, places, inbound, idle, busy: Cell::new(0), out, written }));
+        let (written, most) = (Cell::new(0), Cell::new(most));
+        let calls =
+            Self(Rc::new(Shared { limits, most, places, inbound, idle, busy: Cell::new(0), out, written }));
         let swept = calls.clone();
         tokio::task::spawn_local(async move {
             let mut tick = tokio::time::interval(Duration::from_millis(250));
@@ -124,6 +126,16 @@
         });
         calls
     }
+
+    /// So many connections at most, from now on.
+    pub fn set_most(&self, most: usize) {
+        self.0.most.set(most);
+    }
+
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.0.idle.borrow_mut().clear();
+    }
 }
 
 impl Carrier for Calls {
@@ -136,6 +148,10 @@
         true
     }
 
+    fn address(&self, endpoint: EndpointId) -> Option<String> {
+        self.0.places.borrow().get(&endpoint).map(ToString::to_string)
+    }
+
     fn forget(&self, endpoint: EndpointId) {
         self.0.places.borrow_mut().remove(&endpoint);
         self.close_idle(endpoint);
@@ -150,6 +166,11 @@
         self.0.out.borrow().len()
     }
 
+    fn outs(&self) -> Vec<(MessageId, u16, EndpointId)> {
+        let out = self.0.out.borrow();
+        out.iter().map(|((message, attempt), out)| (*message, *attempt, out.endpoint)).collect()
+    }
+
     fn start(&self, endpoint: EndpointId, parts: Vec<Part>, wait: Micros, pace: Pace) {
         let shared = self.0.clone();
         // An endpoint without a place was never listed here, or is forgotten: it can't be connected to.
@@ -164,7 +185,7 @@
         let off = Rc::new(Cell::new(Some(off)));
         let progress = Progress::default();
         for part in &parts {
-            let out = Out { off: off.clone(), may_run: progress.may_run.clone() };
+            let out = Out { endpoint, off: off.clone(), may_run: progress.may_run.clone() };
             shared.out.borrow_mut().insert((part.message, part.attempt), out);
         }
         tokio::task::spawn_local(async move {
@@ -299,14 +320,14 @@
     fn make_room(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
         let mut count: usize = idle.values().map(Vec::len).sum();
-        while count > 0 && count + self.busy.get() > self.limits.connections {
+        while count > 0 && count + self.busy.get() > self.most.get() {
             let oldest = idle.iter().filter_map(|(l, c)| Some((c.first()?.since, *l))).min_by_key(|o| o.0);
             if let Some(conns) = oldest.and_then(|o| idle.get_mut(&o.1)) {
                 conns.remove(0);
             }
             count -= 1;
         }
-        self.busy.get() <= self.limits.connections
+        self.busy.get() <= self.most.get()
     }
 
     async fn connect(
--- a/crates/sender/src/http/intake.rs
+++ b/crates/sender/src/http/intake.rs
@@ -48,15 +48,16 @@
     answered: Cell<u64>,
     /// A request is open on it.
     asking: Cell<bool>,
-    /// It is to be closed if no request is open on it.
+    /// It is to be closed if no request is open on it, and was told so.
     close: Notify,
+    told: Cell<bool>,
 }
 
 /// What all client connections share.
 pub struct Intake {
     address: SocketAddr,
     /// Connections at a time.
-    most: usize,
+    most: Cell<usize>,
     clock: Clock,
     /// Each class's name and its longest deadline.
     classes: Vec<(Arc<str>, Micros)>,
@@ -150,6 +151,10 @@
         Ok(address)
     }
 
+    fn requests(&self) -> u64 {
+        self.requests.get()
+    }
+
     fn open(&self) -> usize {
         self.places.borrow().len()
     }
@@ -167,18 +172,34 @@
     ) -> Self {
         let (places, freed) = (RefCell::default(), Notify::new());
         let (connections, requests) = (Cell::new(0), Cell::new(0));
-        let inherited = Cell::new(inherited);
+        let (inherited, most) = (Cell::new(inherited), Cell::new(most));
         Self { address, most, clock, classes, inbound, door, inherited, places, freed, connections, requests }
     }
 
-    /// Takes connections for as long as the process runs.
+    /// So many connections at a time, from now on; of those there are too many, idle ones are closed.
+    pub fn set_most(&self, most: usize) {
+        self.most.set(most);
+        (most..self.open()).for_each(|_| self.free_place());
+    }
+
+    /// Requests are counted on from there.
+    pub fn count_from(&self, requests: u64) {
+        self.requests.set(requests);
+    }
+
+    /// Takes connections until another process does.
     async fn listen(self: Rc<Self>, listener: TcpListener) {
+        let mut door = self.door.clone();
         loop {
-            while self.open() >= self.most {
+            while self.open() >= self.most.get() {
                 self.free_place();
                 let _ = timeout(PLACE_WITHIN, self.freed.notified()).await;
             }
-            let Ok((stream, _)) = listener.accept().await else {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = door.wait_for(|door| !door.accepts()) => return,
+            };
+            let Ok((stream, _)) = accepted else {
                 // Out of descriptors, say: it must not spin.
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
@@ -188,6 +209,7 @@
                 answered: Cell::new(0),
                 asking: Cell::new(false),
                 close: Notify::new(),
+                told: Cell::new(false),
             });
             let number = next(&self.connections);
             self.places.borrow_mut().insert(number, place.clone());
@@ -205,8 +227,9 @@
     /// first request on a new one, if it is on its way, would fail.
     fn free_place(&self) {
         let places = self.places.borrow();
-        let idle = places.values().filter(|place| !place.asking.get());
+        let idle = places.values().filter(|place| !place.asking.get() && !place.told.get());
         if let Some(place) = idle.min_by_key(|place| (place.answered.get() == 0, place.since.get())) {
+            place.told.set(true);
             place.close.notify_one();
         }
     }
@@ -230,6 +253,7 @@
                 biased;
                 _ = connection.as_mut() => return,
                 () = place.close.notified() => {
+                    place.told.set(false);
                     if !place.asking.get() {
                         return;
                     }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod config;
 pub mod directory;
 pub mod driver;
+pub mod handover;
 pub mod http;
 mod kept;
 mod look;
 pub mod peers;
 pub mod platform;
 pub mod ports;
+mod process;
 pub mod program;
--- a/crates/sender/src/peers.rs
+++ b/crates/sender/src/peers.rs
@@ -7,6 +7,7 @@
 use decision::interface::Event;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::JoinHandle;
 
 use crate::config::Config;
 use crate::ports::Inbound;
@@ -19,6 +20,7 @@
     socket: Rc<UdpSocket>,
     peers: Vec<SocketAddr>,
     all: Option<SocketAddr>,
+    receiving: JoinHandle<()>,
 }
 
 impl Peers {
@@ -30,7 +32,7 @@
         let Some(listen) = config.peer_listen else { return Ok(None) };
         let socket = Rc::new(UdpSocket::bind(listen).await?);
         let (receiving, peers) = (socket.clone(), config.peers.clone());
-        tokio::task::spawn_local(async move {
+        let task = tokio::task::spawn_local(async move {
             let mut note = [0; NOTE_LIMIT + 1];
             loop {
                 // An error here is an earlier note's that did not arrive.
@@ -49,7 +51,13 @@
                 }
             }
         });
-        Ok(Some(Self { socket, peers: config.peers.clone(), all: config.peers_all }))
+        Ok(Some(Self { socket, peers: config.peers.clone(), all: config.peers_all, receiving: task }))
+    }
+
+    /// Gives the address up; it is free once this returns.
+    pub async fn close(self) {
+        self.receiving.abort();
+        let _ = self.receiving.await;
     }
 
     /// Sends a note to one sender, or to all; it may be lost.
--- a/crates/sender/src/ports.rs
+++ b/crates/sender/src/ports.rs
@@ -8,7 +8,8 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use decision::interface::{EndpointId, Event, MessageId, Micros, Outcome};
+use decision::interface::{EndpointId, Event, MessageId, Micros};
+pub use handover::{Answer, Over as AttemptOver};
 use journal::Taken;
 use tokio::sync::oneshot;
 
@@ -23,6 +24,9 @@
     /// Fails when the address is not to be had.
     fn begin(self: Rc<Self>) -> io::Result<SocketAddr>;
 
+    /// Requests so far.
+    fn requests(&self) -> u64;
+
     /// Clients' connections that are open.
     fn open(&self) -> usize;
 }
@@ -33,6 +37,9 @@
     /// which then knows the endpoint no more than before.
     fn place(&self, endpoint: EndpointId, address: &str) -> bool;
 
+    /// Where an endpoint is, in the list's text, if it was placed here.
+    fn address(&self, endpoint: EndpointId) -> Option<String>;
+
     /// Forgets an endpoint's place and closes idle connections to it.
     fn forget(&self, endpoint: EndpointId);
 
@@ -51,8 +58,11 @@
     /// Messages written whole to endpoints so far, counted once for each attempt.
     fn written(&self) -> u64;
 
-    /// Attempts that are out.
+    /// How many attempts are out.
     fn out(&self) -> usize;
+
+    /// The attempts that are out on connections of this process, and where.
+    fn outs(&self) -> Vec<(MessageId, u16, EndpointId)>;
 }
 
 /// Bodies hold at most so much.
@@ -80,6 +90,8 @@
     NoticesKept(Vec<MessageId>),
     /// On-call staff ask for something.
     Ops(ops::call::Call, oneshot::Sender<Told>),
+    /// A process that was started beside this one asks to take over.
+    Successor(crate::handover::Link),
     /// A line on the state is to be written to the log.
     Status,
     /// The configuration is to be read again.
@@ -97,32 +109,6 @@
     pub text: String,
 }
 
-/// How one attempt ended.
-#[derive(Debug, Clone)]
-pub struct AttemptOver {
-    /// The message.
-    pub message: MessageId,
-    /// The attempt's number.
-    pub attempt: u16,
-    /// Where it went.
-    pub endpoint: EndpointId,
-    /// How it ended.
-    pub outcome: Outcome,
-    /// The endpoint knows the message to be over.
-    pub gone: bool,
-    /// Since the call began.
-    pub took: Micros,
-    /// The load report, if one came.
-    pub report: Vec<f32>,
-}
-
-impl AttemptOver {
-    /// The end of an attempt of which nothing was sent.
-    pub fn unsent(message: MessageId, attempt: u16, endpoint: EndpointId, outcome: Outcome) -> Self {
-        Self { message, attempt, endpoint, outcome, gone: false, took: 0, report: vec![] }
-    }
-}
-
 /// A message that a client hands in, and where its answer goes.
 #[derive(Debug)]
 pub struct HandedIn {
@@ -136,19 +122,6 @@
     pub answer: oneshot::Sender<Answer>,
 }
 
-/// What the client hears.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Answer {
-    /// The sender owes the message its end.
-    Taken,
-    /// Handing it in again is harmless, best after so many microseconds.
-    Refused(Micros),
-    /// Failed.
-    Failed,
-    /// It was delivered when it was handed in before.
-    Delivered,
-}
-
 /// A message of a call.
 #[derive(Debug, Clone)]
 pub struct Part {
--- /dev/null
+++ b/crates/sender/src/process.rs
@@ -0,0 +1,283 @@
+//! One process of a sender from its start to its end, with what it takes over from the one before and hands to the next.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use decision::interface::{Effect, EndpointId, MessageId, Micros};
+use decision::policy::Policy;
+use handover::State;
+use handover::step::{self, After, Found, Start};
+use journal::{Journal, OpenError};
+use operators::Operators;
+use ops::door::Door;
+use ops::figures::Ends;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
+
+use crate::config::{self, Config};
+use crate::driver::{self, Ended, Parts};
+use crate::handover::{self as link, Before, Carried, Link};
+use crate::http;
+use crate::http::calls::{Calls, Limits};
+use crate::http::intake::Intake;
+use crate::kept;
+use crate::peers::Peers;
+use crate::ports::{Carrier, Clock, Front, Inbound};
+
+/// Descriptors that are neither clients' nor endpoints'.
+const OWN_SOCKETS: usize = 32;
+/// While two processes run, each has this part of the places for clients and for endpoints: with what the old one has
+/// out, both stay within the descriptors of one.
+const PART: usize = 3;
+/// The requests of the next process are counted from so far beyond those of this one.
+const REQUESTS_APART: u64 = 1 << 32;
+/// A process that starts looks so often whether the one before is gone.
+const AGAIN: Duration = Duration::from_millis(20);
+
+fn journal_options(config: &Config, operators: &Operators) -> journal::Options {
+    let table = &operators.journal;
+    let retain = table.retain.zip(table.ledger).map(|(span, size)| {
+        let classes = config.names.classes.iter().zip(&config.settings.classes);
+        let once = classes.filter(|(_, class)| class.effect == Effect::Once);
+        journal::Retain {
+            span: span.micros,
+            bytes: size.bytes,
+            classes: once.map(|(name, _)| name.clone()).collect(),
+        }
+    });
+    let damage = match table.damage {
+        operators::Damage::Refuse => journal::Damage::Refuse,
+        operators::Damage::Suspect => journal::Damage::Suspect,
+    };
+    journal::Options {
+        limit: if config.ops.is_some() { config.disk.saturating_sub(kept::RESERVED) } else { config.disk },
+        sync: table.sync == operators::Sync::Group,
+        damage,
+        retain,
+        segment: None,
+    }
+}
+
+fn open_journal(config: &Config, operators: &Operators) -> Result<Option<Journal>, String> {
+    let options = journal_options(config, operators);
+    match Journal::open(&config.state, options, Clock::new().now()) {
+        Ok((journal, report)) => {
+            eprint!("{report}");
+            Ok(Some(journal))
+        }
+        Err(OpenError::Locked) => Ok(None),
+        Err(e) => Err(format!("journal in {}: {e}", config.state.display())),
+    }
+}
+
+/// Opens the journal, and where another process has it takes over from that one.
+async fn begin(
+    config: &Config,
+    operators: &Operators,
+    beside: bool,
+) -> Result<(Journal, Option<(Link, State)>), String> {
+    let locked = || format!("journal in {}: {}", config.state.display(), OpenError::Locked);
+    let began = Clock::new();
+    let start = began.now();
+    loop {
+        if let Some(journal) = open_journal(config, operators)? {
+            return Ok((journal, None));
+        }
+        let other = if beside { link::connect(&config.state).await } else { None };
+        let found = if other.is_some() { Found::Running } else { Found::Mute };
+        match (step::start(found, beside, began.now() - start), other) {
+            (Start::Ask, Some(other)) => match link::ask(other).await {
+                // It gave the journal up before it said so.
+                Ok(told) => {
+                    let journal = open_journal(config, operators)?.ok_or_else(locked)?;
+                    return Ok((journal, Some(told)));
+                }
+                Err(e) => eprintln!("the process before does not hand over: {e}"),
+            },
+            (Start::GiveUp, _) => return Err(locked()),
+            _ => {}
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+}
+
+/// What another process knew, if this one can read it.
+fn understood(config: &Config, state: &State, now: Micros) -> Option<Policy> {
+    let names = &config.names;
+    if state.names != [names.classes.clone(), names.kinds.clone(), names.zones.clone()] {
+        eprintln!("the settings name other classes, kinds or zones than the process before knows");
+        return None;
+    }
+    match Policy::taken_over(&state.policy, config.settings.clone(), config.seed, now) {
+        Ok(policy) => Some(policy),
+        Err(e) => {
+            eprintln!("{e}");
+            None
+        }
+    }
+}
+
+/// The sockets' sides of a process, for as long as it runs.
+struct Sides {
+    clock: Clock,
+    intake: Rc<Intake>,
+    calls: Calls,
+    door: watch::Sender<Door>,
+    /// Connections of either side.
+    most: usize,
+}
+
+impl Sides {
+    fn new(
+        config: &Config,
+        clock: Clock,
+        inherited: Option<TcpListener>,
+        inbound: &UnboundedSender<Inbound>,
+    ) -> Self {
+        let own = OWN_SOCKETS + config.ops.map_or(0, |_| http::ops::CALLERS + 1);
+        let most = (config.sockets.saturating_sub(own) / 2).max(1);
+        let limits = Limits {
+            connect: config.settings.connect_timeout.max(1),
+            idle: config.settings.idle_close,
+            report: config.names.report.clone(),
+        };
+        let (door, seen) = watch::channel(Door::default());
+        let longest = config.settings.classes.iter().map(|class| class.deadline);
+        let classes = config.names.classes.iter().map(|name| name.as_str().into()).zip(longest).collect();
+        let intake = Intake::new((config.listen, inherited, most), clock, classes, inbound.clone(), seen);
+        let calls = Calls::new(limits, most, inbound.clone());
+        Self { clock, intake: Rc::new(intake), calls, door, most }
+    }
+
+    fn fronts(&self) -> Vec<Rc<dyn Front>> {
+        vec![self.intake.clone()]
+    }
+
+    fn carriers(&self) -> Vec<Rc<dyn Carrier>> {
+        vec![Rc::new(self.calls.clone())]
+    }
+}
+
+/// Runs a sender until it is asked to end and has, or has handed over.
+///
+/// # Errors
+/// Fails, in one line, when it can't start or go on.
+pub async fn run(
+    mut config: Config,
+    operators: &Operators,
+    inherited: Option<TcpListener>,
+    (inbound, mut events): (UnboundedSender<Inbound>, UnboundedReceiver<Inbound>),
+) -> Result<(), String> {
+    let beside = inherited.is_some();
+    let (mut journal, told) = begin(&config, operators, beside).await?;
+    let latest = told.as_ref().map_or(0, |told| told.1.at).max(journal.latest());
+    let (clock, mut set_back) = Clock::after(latest);
+    if set_back {
+        eprintln!("the clock was set back since the last process: how old its attempts are is not known");
+    }
+    let sides = Sides::new(&config, clock, inherited, &inbound);
+    let (mut taken_over, mut before, mut waits) = (None, None, Vec::new());
+    if let Some((mut other, state)) = told {
+        let policy = understood(&config, &state, clock.now());
+        link::took(&mut other, policy.is_some())
+            .await
+            .map_err(|e| format!("the process before breaks off: {e}"))?;
+        sides.intake.count_from(state.requests.saturating_add(REQUESTS_APART));
+        if let Some(since) = state.standby {
+            sides.door.send_replace(Door::Standby(since));
+        }
+        let out = if policy.is_some() { state.out.clone() } else { Vec::new() };
+        before = Some(share_with(&sides, &config, other, out, &inbound));
+        match policy {
+            Some(policy) => taken_over = Some((state, policy)),
+            None => waits = state.waits,
+        }
+    }
+    let (mut begun, mut ends): (bool, Option<Ends>) = (false, None);
+    loop {
+        let listening = match beside {
+            true => {
+                Some(link::listen(&config.state, inbound.clone()).map_err(|e| format!("successor: {e}"))?)
+            }
+            false => None,
+        };
+        let peers = Peers::open(&config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
+        let mut carriers = sides.carriers();
+        carriers.extend(before.clone().map(|before| before as Rc<dyn Carrier>));
+        let parts = Parts {
+            clock,
+            journal,
+            fronts: sides.fronts(),
+            carriers,
+            peers,
+            door: sides.door.clone(),
+            held_out: kept::read(&config.state).map_err(|e| format!("{}: {e}", config.state.display()))?,
+            begun,
+            taken_over: taken_over.take(),
+            before: before.take(),
+            waits: std::mem::take(&mut waits),
+            ends: ends.take(),
+            set_back: std::mem::take(&mut set_back),
+        };
+        let (successor, state, so_far) =
+            match driver::run(&config, parts, inbound.clone(), &mut events).await? {
+                Ended::Done => return Ok(()),
+                Ended::HandsOver { successor, state, ends, peers } => {
+                    if let Some(peers) = peers {
+                        peers.close().await;
+                    }
+                    (successor, *state, ends)
+                }
+            };
+        begun = true;
+        listening.inspect(|listening| listening.abort());
+        let offered = link::offer(successor, &state).await;
+        let again = if offered.is_ok() { None } else { open_journal(&config, operators)? };
+        match (step::after(offered.is_ok(), again.is_some()), offered, again) {
+            (After::Carry, Ok((link, understood)), _) => {
+                eprintln!("{} has handed over", config.name);
+                sides.calls.close_all_idle();
+                sides.intake.set_most(sides.most / PART);
+                let carried = Carried {
+                    clock,
+                    fronts: sides.fronts(),
+                    carriers: sides.carriers(),
+                    door: sides.door,
+                    ends: so_far,
+                };
+                return link::carry(link, understood, carried, &mut events).await;
+            }
+            (After::GoOn, Err(e), Some(again)) => {
+                eprintln!("the next process did not take over, this one goes on: {e}");
+                journal = again;
+                let policy = understood(&config, &state, clock.now());
+                taken_over = Some((state, policy.ok_or("its own state can't be read")?));
+                ends = Some(so_far);
+                // It may have moved since the start.
+                config.discovery = config::discovery_again().unwrap_or(config.discovery);
+            }
+            _ => return Err("another process has the journal, and does not answer".to_owned()),
+        }
+    }
+}
+
+/// Hears the process before, and keeps to a part of the descriptors until it is gone.
+fn share_with(
+    sides: &Sides,
+    config: &Config,
+    other: Link,
+    out: Vec<(MessageId, u16, EndpointId)>,
+    inbound: &UnboundedSender<Inbound>,
+) -> Rc<Before> {
+    let (intake, calls, most) = (sides.intake.clone(), sides.calls.clone(), sides.most);
+    let part = (most / PART).max(1);
+    intake.set_most(part);
+    calls.set_most(part);
+    let names = config.names.classes.clone();
+    let class = move |name: &str| names.iter().position(|class| class == name);
+    Before::follow(other, out, sides.clock, class, inbound.clone(), move || {
+        intake.set_most(most);
+        calls.set_most(most);
+    })
+}
--- a/crates/sender/src/program.rs
+++ b/crates/sender/src/program.rs
@@ -4,29 +4,18 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
-use std::rc::Rc;
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
-use decision::interface::{Dormant, Effect, Micros, RouteId};
-use journal::Journal;
+use decision::interface::{Dormant, Micros, RouteId};
 use operators::{DormantTable, Operators};
-use ops::door::Door;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
-use crate::config::{self, Config};
-use crate::driver::{self, Parts};
-use crate::http;
-use crate::http::calls::{Calls, Limits};
-use crate::http::intake::Intake;
-use crate::kept;
+use crate::config;
 use crate::look;
-use crate::peers::Peers;
-use crate::ports::{Clock, Inbound};
-
-/// Descriptors that are neither clients' nor endpoints'.
-const OWN_SOCKETS: usize = 32;
+use crate::ports::Inbound;
+use crate::process;
 
 /// What `[dormant]` has where it says no more than `after`.
 const REMEMBER: Micros = 30 * 86_400_000_000;
@@ -158,8 +147,7 @@
                 }
             });
         }
-        let parts = assemble(&config, &operators, inherited, &inbound).await?;
-        driver::run(config, parts, inbound, events).await
+        process::run(config, &operators, inherited, (inbound, events)).await
     })
 }
 
@@ -176,68 +164,3 @@
         wakes: f64::from(table.wakes.unwrap_or(WAKES)),
     })
 }
-
-fn journal_options(config: &Config, operators: &Operators) -> journal::Options {
-    let table = &operators.journal;
-    let retain = table.retain.zip(table.ledger).map(|(span, size)| {
-        let classes = config.names.classes.iter().zip(&config.settings.classes);
-        let once = classes.filter(|(_, class)| class.effect == Effect::Once);
-        journal::Retain {
-            span: span.micros,
-            bytes: size.bytes,
-            classes: once.map(|(name, _)| name.clone()).collect(),
-        }
-    });
-    let damage = match table.damage {
-        operators::Damage::Refuse => journal::Damage::Refuse,
-        operators::Damage::Suspect => journal::Damage::Suspect,
-    };
-    journal::Options {
-        limit: if config.ops.is_some() { config.disk.saturating_sub(kept::RESERVED) } else { config.disk },
-        sync: table.sync == operators::Sync::Group,
-        damage,
-        retain,
-        segment: None,
-    }
-}
-
-async fn assemble(
-    config: &Config,
-    operators: &Operators,
-    inherited: Option<std::net::TcpListener>,
-    inbound: &mpsc::UnboundedSender<Inbound>,
-) -> Result<Parts, String> {
-    let (journal, report) =
-        Journal::open(&config.state, journal_options(config, operators), Clock::new().now())
-            .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
-    eprint!("{report}");
-    let (clock, set_back) = Clock::after(journal.latest());
-    if set_back {
-        eprintln!("the clock was set back since the last process: how old its attempts are is not known");
-    }
-    let peers = Peers::open(config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
-    let own = OWN_SOCKETS + config.ops.map_or(0, |_| http::ops::CALLERS + 1);
-    let sides = (config.sockets.saturating_sub(own) / 2).max(1);
-    let limits = Limits {
-        connect: config.settings.connect_timeout.max(1),
-        idle: config.settings.idle_close,
-        connections: sides,
-        report: config.names.report.clone(),
-    };
-    let held_out = kept::read(&config.state).map_err(|e| format!("{}: {e}", config.state.display()))?;
-    let (door, seen) = watch::channel(Door::default());
-    let longest = config.settings.classes.iter().map(|class| class.deadline);
-    let classes = config.names.classes.iter().map(|name| name.as_str().into()).zip(longest).collect();
-    let intake = Intake::new((config.listen, inherited, sides), clock, classes, inbound.clone(), seen);
-    let calls = Calls::new(limits, inbound.clone());
-    Ok(Parts {
-        clock,
-        journal,
-        fronts: vec![Rc::new(intake)],
-        carriers: vec![Rc::new(calls)],
-        peers,
-        door,
-        held_out,
-        set_back,
-    })
-}
--- a/crates/sender/tests/node/main.rs
+++ b/crates/sender/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod kept;
 mod lost;
 mod rough;
+mod upgrade;
 
 use std::collections::BTreeSet;
 
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -204,6 +204,17 @@
         Self::run(&self.program, self.folder.clone(), command)
     }
 
+    /// A second process on the same folder, beside this one.
+    pub fn start_beside(&self) -> Self {
+        let command = self.program.command(self.folder.path());
+        Self::run(&self.program, self.folder.clone(), command)
+    }
+
+    /// Ends it and leaves the folder.
+    pub fn into_folder(self) -> Arc<tempfile::TempDir> {
+        self.folder.clone()
+    }
+
     /// The process's number.
     pub fn pid(&self) -> u32 {
         self.child.id()
