--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -418,6 +418,9 @@
         let told = |status, text: &str| Told { status, text: text.to_owned() };
         let done = || told(200, "done\n");
         let door = *self.door.borrow();
+        if !matches!(call, Call::Status | Call::Metrics) {
+            eprintln!("on-call staff ask for {call:?}");
+        }
         match call {
             Call::Status if door == Door::Closing => told(503, "ending\n"),
             Call::Status => told(200, "taking clients\n"),
