Rest before discovery is asked again that turned a call away, in proportion to the senders

Each that was turned away (503) asked again after 50 ms: 11,191 calls turned away, 10 answered. Senders went on calling endpoints that were gone (2,638 connections not made) and the ramp held back what was left. Ruled out first: idle connections that fill endpoints' tables (no connection failed before the release), refusals at limits (183 of 507 came without a report, the others stop with the release). Change: module again (no I/O, no clock): 25 ms a sender, doubled each time up to 8 s, by chance; first calls spread likewise. A broken connection is still tried again after 50 ms, for the agent is on the same machine. Not taken: asking for the whole list less often (the call itself is what costs), a fixed longer rest (too long for few senders).

--- /dev/null
+++ b/crates/sender/src/again.rs
@@ -0,0 +1,114 @@
+//! When discovery is asked again. No I/O and no clock.
+
+use std::time::Duration;
+
+/// Rest after a connection that broke or an answer that did not come: the agent is on this machine, asking it costs
+/// nobody anything, and a watch goes on if it comes back within 200 ms.
+const BROKEN: Duration = Duration::from_millis(50);
+/// What a sender's call takes of the time of a discovery that serves all senders, about.
+const TURN: Duration = Duration::from_millis(25);
+/// The longest mean rest after a call was turned away: every sender gets a turn within that.
+const LONGEST: Duration = Duration::from_secs(8);
+
+/// How a call ended that brought no list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unanswered {
+    /// The connection broke, nothing came in time, or what came can't be read.
+    Broken,
+    /// Discovery turned the call away: it has more of them than it can answer.
+    TurnedAway,
+}
+
+/// Guards discovery against all its senders: each call that it turns away costs it too, so that many senders that ask
+/// again at once get nothing, all of them, for good. The rest after a call that was turned away is in proportion to the
+/// number of senders, twice as long with each, and by chance, so that those who begin together don't go on together. It
+/// costs a list that comes some seconds later where a single call was turned away by chance.
+#[derive(Debug)]
+pub struct Again {
+    senders: u32,
+    turned_away: u32,
+    rng: fastrand::Rng,
+}
+
+impl Again {
+    /// For one of so many senders.
+    pub fn new(senders: usize, seed: u64) -> Self {
+        let senders = u32::try_from(senders).unwrap_or(u32::MAX).max(1);
+        Self { senders, turned_away: 0, rng: fastrand::Rng::with_seed(seed) }
+    }
+
+    /// How long before the first call: senders that are started together don't ask together. One alone doesn't wait.
+    pub fn first(&mut self) -> Duration {
+        TURN.saturating_mul(self.senders - 1).min(LONGEST / 4).mul_f64(self.rng.f64())
+    }
+
+    /// A list came.
+    pub fn answered(&mut self) {
+        self.turned_away = 0;
+    }
+
+    /// How long to rest before the next call.
+    pub fn rest(&mut self, how: Unanswered) -> Duration {
+        if how == Unanswered::Broken {
+            return BROKEN;
+        }
+        let times = 1u32.checked_shl(self.turned_away).unwrap_or(u32::MAX);
+        self.turned_away = self.turned_away.saturating_add(1);
+        let mean = TURN.saturating_mul(self.senders).max(BROKEN).saturating_mul(times).min(LONGEST);
+        mean.mul_f64(0.5 + self.rng.f64())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_is_turned_away_rests_longer_each_time_and_begins_anew_after_a_list() {
+        let mut again = Again::new(48, 1);
+        let mut mean = Duration::from_millis(1_200);
+        for _ in 0..40 {
+            let rest = again.rest(Unanswered::TurnedAway);
+            assert!(rest >= mean / 2 && rest <= mean * 3 / 2, "{rest:?} about {mean:?}");
+            mean = (mean * 2).min(LONGEST);
+        }
+        assert_eq!(again.rest(Unanswered::Broken), BROKEN, "the agent itself is asked at once");
+        again.answered();
+        assert!(again.rest(Unanswered::TurnedAway) <= Duration::from_millis(1_800));
+    }
+
+    #[test]
+    fn one_alone_asks_at_once() {
+        assert_eq!(Again::new(1, 1).first(), Duration::ZERO);
+        assert_eq!(Again::new(0, 1).first(), Duration::ZERO);
+        assert!(Again::new(usize::MAX, 1).first() <= LONGEST / 4);
+    }
+
+    /// A discovery that can answer every sender once in eight seconds, and pays half as much for a call that it turns
+    /// away: all senders have a list soon. Without the rest few ever do.
+    #[test]
+    fn all_of_many_senders_get_their_list() {
+        let served_by = |rests: bool| {
+            let mut senders: Vec<_> = (0..48).map(|n| Again::new(48, n)).collect();
+            let mut at: Vec<_> = senders.iter_mut().map(|s| Some(s.first())).collect();
+            let (mut busy_until, mut last) = (Duration::ZERO, Duration::ZERO);
+            while let Some((now, n)) = at.iter().enumerate().filter_map(|(n, at)| Some(((*at)?, n))).min() {
+                if now > Duration::from_secs(60) {
+                    return None;
+                }
+                busy_until = busy_until.max(now);
+                if busy_until - now > Duration::from_secs(2) {
+                    busy_until += LONGEST / 96;
+                    let rest = senders[n].rest(Unanswered::TurnedAway);
+                    at[n] = Some(now + if rests { rest } else { BROKEN });
+                } else {
+                    busy_until += LONGEST / 48;
+                    (at[n], last) = (None, busy_until);
+                }
+            }
+            Some(last)
+        };
+        assert!(served_by(true).unwrap() < Duration::from_secs(30), "{:?}", served_by(true));
+        assert_eq!(served_by(false), None);
+    }
+}
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -19,6 +19,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, oneshot, watch};
 
+use crate::again::Again;
 use crate::config::{self, Config};
 use crate::directory::{Directory, SLICE};
 use crate::handover::{Before, Link};
@@ -204,7 +205,8 @@
         eprintln!("{} answers on-call staff on {place}", config.name);
     }
     tokio::task::spawn_local(platform::notices(found.clone(), owed, inbound.clone()));
-    let watch = tokio::task::spawn_local(platform::watch(found, index, whole_list, inbound));
+    let again = Again::new(config.settings.senders, config.seed);
+    let watch = tokio::task::spawn_local(platform::watch(found, index, whole_list, again, inbound));
     eprintln!(
         "{} is ready on {} with {} messages in hand",
         config.name,
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -4,6 +4,7 @@
 //! what came of it takes the same way back. Nothing here decides which server is called, whether again, or what is
 //! turned away; nothing is answered or called before the journal has it; and one task, the driver, owns the state.
 
+pub mod again;
 pub mod config;
 pub mod directory;
 pub mod driver;
--- a/crates/sender/src/platform.rs
+++ b/crates/sender/src/platform.rs
@@ -15,6 +15,7 @@
 
 use journal::GivenUp;
 
+use crate::again::{Again, Unanswered};
 use crate::http::conn::Conn;
 use crate::ports::{BODY_LIMIT, Inbound};
 
@@ -29,7 +30,7 @@
 const LIST_WITHIN: Duration = Duration::from_secs(5);
 /// One of more bytes takes a millisecond and more to read.
 const LONG_LIST: usize = 128 << 10;
-/// Rest before a failed request is made again: a watch goes on if it comes back within 200 ms.
+/// Rest before a failed notice is sent again.
 const AGAIN: Duration = Duration::from_millis(50);
 /// How long a notice may take; it is sent again after that.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -107,9 +108,11 @@
     mut discovery: Receiver<SocketAddr>,
     known: u64,
     whole: Rc<Notify>,
+    mut again: Again,
     inbound: UnboundedSender<Inbound>,
 ) {
     let mut from = Some(known);
+    tokio::time::sleep(again.first()).await;
     let mut conn = None;
     loop {
         let address = *discovery.borrow_and_update();
@@ -134,17 +137,21 @@
             }
         };
         let list = match answer {
-            Ok(Ok((StatusCode::OK, body))) => read_list(body).await,
-            _ => None,
+            Ok(Ok((StatusCode::OK, body))) => read_list(body).await.ok_or(Unanswered::Broken),
+            Ok(Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _))) => {
+                Err(Unanswered::TurnedAway)
+            }
+            _ => Err(Unanswered::Broken),
         };
         let said = match list {
-            Some(list) => {
+            Ok(list) => {
+                again.answered();
                 from = Some(list.index);
                 Inbound::Listed(Listed(list))
             }
-            None => {
+            Err(how) => {
                 conn = None;
-                if let Ok(Ok(())) = timeout(AGAIN, discovery.changed()).await {
+                if let Ok(Ok(())) = timeout(again.rest(how), discovery.changed()).await {
                     from = None;
                 }
                 Inbound::Event(Event::ListFailed)
