--- a/crates/handover/src/state.rs
+++ b/crates/handover/src/state.rs
@@ -23,6 +23,8 @@
     pub index: u64,
     /// By their `Req-Id`: messages that are held, and the requests by which they came.
     pub held: Vec<(String, u32, u64)>,
+    /// Attempts begun for each message that is held, those that were not sent among them.
+    pub attempts: Vec<(u32, u16)>,
     /// The number of the next message.
     pub next_message: u32,
     /// Requests so far. The next process's begin far beyond.
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -11,10 +11,9 @@
 use decision::interface::*;
 use decision::policy::Policy;
 use handover::State;
-use journal::{GivenUp, Journal, Live, Record, Remembered, Taken};
-use ops::call::Call;
+use journal::{GivenUp, Journal, Record, Remembered, Taken};
 use ops::door::Door;
-use ops::figures::{End, Ends, Now};
+use ops::figures::{End, Ends};
 use ops::held_out::HeldOut;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, oneshot, watch};
@@ -24,10 +23,12 @@
 use crate::directory::{Directory, SLICE};
 use crate::handover::{Before, Link};
 use crate::http;
-use crate::kept;
 use crate::peers::Peers;
 use crate::platform::{self, ListBody, Notice};
-use crate::ports::{Answer, AttemptOver, Carrier, Clock, Front, HandedIn, Inbound, Pace, Part, Told};
+use crate::ports::{Answer, AttemptOver, Carrier, Clock, Front, HandedIn, Inbound, Pace, Part};
+
+mod begin;
+mod duty;
 
 /// From SIGTERM until the process may be killed.
 const STOP_WITHIN: Micros = 3_700_000;
@@ -252,7 +253,9 @@
         if driver.may_end(fronts.iter().map(|front| front.open()).sum()) {
             return Ok(Ended::Done);
         }
-        let now = driver.may_hand_over();
+        // Guards the end of a call that is on its way here, and out nowhere any more: it must not get lost between the
+        // two processes.
+        let now = events.is_empty() && driver.may_hand_over();
         if let Some(successor) = driver.successor.take_if(|_| now) {
             match driver.state(fronts.iter().map(|front| front.requests()).max().unwrap_or(0)) {
                 Ok(state) => {
@@ -267,104 +270,6 @@
 }
 
 impl Driver {
-    /// What another process knew, with what is in the journal that it gave up.
-    fn go_on(&mut self, state: State) -> Vec<Event> {
-        let State { endpoints, ids, given, index, held, next_message, .. } = state;
-        self.directory.restore(endpoints, ids, given);
-        (self.index, self.next_message) = (index, next_message);
-        let requests: HashMap<u32, u64> =
-            held.iter().map(|(_, number, request)| (*number, *request)).collect();
-        for (number, live) in self.journal.live().iter() {
-            if let Some(how) = live.given_up {
-                self.unsaid.push((*number, how, live.taken.id.clone()));
-                continue;
-            }
-            let request = requests.get(number).copied().unwrap_or(0);
-            self.held.insert(live.taken.id.clone(), (*number, request));
-            if let Some(last) = live.attempts.last() {
-                self.attempts.insert(*number, last.number + 1);
-            }
-        }
-        // Guards against a module and a journal that don't agree: the journal is what binds.
-        let ids = self.policy.messages().into_iter();
-        ids.filter(|id| !self.held.values().any(|held| held.0 == id.0)).map(Event::Left).collect()
-    }
-
-    /// Whether another process may take over now: all that is said is written, and nothing is left of the one before.
-    fn may_hand_over(&self) -> bool {
-        let written = self.unwritten.is_empty() && self.unsaid.is_empty() && self.fresh.is_empty();
-        let alone = self.before.as_ref().is_none_or(|before| before.is_gone());
-        written && alone && !self.directory.is_behind()
-    }
-
-    /// All that the journal does not hold.
-    fn state(&self, requests: u64) -> Result<State, String> {
-        let (endpoints, ids, given) = self.directory.save();
-        let held = self.held.iter().map(|(id, (number, request))| (id.clone(), *number, *request));
-        let waits = self.policy.waits().into_iter();
-        let standby = match *self.door.borrow() {
-            Door::Standby(since) => Some(since),
-            _ => None,
-        };
-        Ok(State {
-            at: self.clock.now(),
-            names: self.directory.names(),
-            policy: self.policy.state().map_err(|e| e.to_string())?.into(),
-            endpoints,
-            ids,
-            given,
-            index: self.index,
-            held: held.collect(),
-            next_message: self.next_message,
-            requests,
-            out: self.directory.carriers().iter().flat_map(|carrier| carrier.outs()).collect(),
-            waits: waits.map(|(id, until)| (self.directory.name(id).to_string(), until)).collect(),
-            standby,
-        })
-    }
-
-    /// The list as last known, and what an earlier process left in the journal.
-    fn start(&mut self, known: ListBody, set_back: bool, waits: Vec<(String, Micros)>) -> Vec<Event> {
-        let now = self.clock.now();
-        let mut said = vec![self.listed(ListBody { snapshot: true, ..known })];
-        // A wait that the process before was told binds this one too.
-        for (name, until) in waits {
-            let endpoint = self.directory.listed_id(&name).filter(|_| until > now);
-            said.extend(endpoint.map(|endpoint| Event::Wait { endpoint, wait: until - now }));
-        }
-        let mut live: Vec<(u32, Live)> = self.journal.live().iter().map(|(n, l)| (*n, l.clone())).collect();
-        live.sort_unstable_by_key(|live| live.0);
-        for (number, live) in live {
-            self.held.insert(live.taken.id.clone(), (number, 0));
-            let may_have_run: Vec<_> = live
-                .attempts
-                .iter()
-                .filter(|attempt| !attempt.never_ran)
-                // Guards against a repeat outside the time for which it would be dropped: an age that is not known is
-                // beyond any such time.
-                .map(|attempt| (if set_back { now } else { now.saturating_sub(attempt.at) }, attempt))
-                .map(|(ago, attempt)| (ago, self.directory.id_of_attempt(&attempt.endpoint)))
-                .collect();
-            let class = self.directory.class(&live.taken.class);
-            let given_up = match (live.given_up, class) {
-                (None, Some(class)) => {
-                    let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
-                    self.attempts.insert(number, attempts);
-                    let message = message(number, class, &live.taken, now);
-                    said.push(Event::Resumed { message, attempts: attempts.into(), may_have_run });
-                    continue;
-                }
-                (Some(how), _) => how,
-                // Its class is not one of the settings' any more, so that the module can't judge it.
-                (None, None) if may_have_run.is_empty() => GivenUp::Deferred(0),
-                (None, None) => GivenUp::Undeliverable,
-            };
-            self.unwritten.push(Record::GivenUp(number, given_up));
-            self.unsaid.push((number, given_up, live.taken.id.clone()));
-        }
-        said
-    }
-
     /// Turns what a task says into events for the module.
     fn fold(&mut self, inbound: Inbound, said: &mut Vec<Event>) {
         if let Inbound::Listed(platform::Listed(list)) = &inbound {
@@ -415,54 +320,6 @@
         }
     }
 
-    /// What on-call staff ask for. A no changes nothing.
-    fn asked(&mut self, call: Call, said: &mut Vec<Event>) -> Told {
-        let told = |status, text: &str| Told { status, text: text.to_owned() };
-        let done = || told(200, "done\n");
-        let door = *self.door.borrow();
-        if !matches!(call, Call::Status | Call::Metrics) {
-            eprintln!("on-call staff ask for {call:?}");
-        }
-        match call {
-            Call::Status if door == Door::Closing => told(503, "ending\n"),
-            Call::Status => told(200, "taking clients\n"),
-            Call::Metrics => told(200, &self.ends.text(self.figures())),
-            Call::Standby | Call::Active if door == Door::Closing => told(409, "ending\n"),
-            Call::Standby => {
-                self.door.send_replace(door.standby(self.clock.now()));
-                done()
-            }
-            Call::Active => {
-                self.door.send_replace(door.active());
-                done()
-            }
-            Call::HoldOut(ref name) | Call::PutBack(ref name) => {
-                let out = matches!(call, Call::HoldOut(_));
-                let held_out = match self.directory.would_hold_out(name, out) {
-                    Ok(held_out) => held_out,
-                    Err(refused) => return told(refused.status(), refused.text()),
-                };
-                // Before the yes: it holds for the next process too.
-                if held_out != *self.directory.held_out()
-                    && let Err(e) = kept::write(&self.state, &held_out)
-                {
-                    return told(500, &format!("it can't be kept, and nothing changes: {e}\n"));
-                }
-                said.push(self.directory.hold_out(held_out));
-                done()
-            }
-        }
-    }
-
-    fn figures(&self) -> Now {
-        Now {
-            relayed: self.directory.carriers().iter().map(|carrier| carrier.written()).sum(),
-            open: self.policy.held(),
-            listed: self.directory.listed_endpoints(),
-            out_of_rotation: self.policy.avoided(),
-        }
-    }
-
     fn handed_in(&mut self, message: HandedIn, said: &mut Vec<Event>) {
         let HandedIn { taken, class, request, answer } = message;
         if let Some((number, _)) = self.held.get(&taken.id) {
--- /dev/null
+++ b/crates/sender/src/driver/begin.rs
@@ -0,0 +1,131 @@
+//! What a process begins with, and what it leaves to the next one.
+
+use std::collections::{BTreeSet, HashMap};
+
+use decision::interface::*;
+use handover::State;
+use journal::{GivenUp, Live, Record};
+use ops::door::Door;
+
+use super::{Driver, message};
+use crate::platform::ListBody;
+
+impl Driver {
+    /// What another process knew, with what is in the journal that it gave up.
+    pub(super) fn go_on(&mut self, state: State) -> Vec<Event> {
+        let State { endpoints, ids, given, index, held, next_message, attempts, .. } = state;
+        self.directory.restore(endpoints, ids, given);
+        (self.index, self.next_message) = (index, next_message);
+        self.attempts = attempts.into_iter().collect();
+        let requests: HashMap<u32, u64> =
+            held.iter().map(|(_, number, request)| (*number, *request)).collect();
+        let mut kept = BTreeSet::new();
+        for (number, live) in self.journal.live().iter() {
+            let request = requests.get(number).copied().unwrap_or(0);
+            self.held.insert(live.taken.id.clone(), (*number, request));
+            match live.given_up {
+                Some(how) => self.unsaid.push((*number, how, live.taken.id.clone())),
+                None => drop(kept.insert(*number)),
+            }
+        }
+        // Guards against a module and a journal that don't agree: the journal is what binds.
+        let of_module = self.policy.messages();
+        let mut said: Vec<_> =
+            of_module.iter().filter(|id| !kept.contains(&id.0)).map(|id| Event::Left(*id)).collect();
+        for number in kept {
+            if self.policy.holds(MessageId(number)) {
+                continue;
+            }
+            let Some(live) = self.journal.live().get(&number).cloned() else { continue };
+            said.extend(self.resumed(number, &live, false));
+        }
+        said
+    }
+
+    /// Whether another process may take over now: all that is said is written, and nothing is left of the one before.
+    pub(super) fn may_hand_over(&self) -> bool {
+        let written = self.unwritten.is_empty() && self.unsaid.is_empty() && self.fresh.is_empty();
+        let alone = self.before.as_ref().is_none_or(|before| before.is_gone());
+        written && alone && !self.directory.is_behind()
+    }
+
+    /// All that the journal does not hold.
+    pub(super) fn state(&self, requests: u64) -> Result<State, String> {
+        let (endpoints, ids, given) = self.directory.save();
+        let held = self.held.iter().map(|(id, (number, request))| (id.clone(), *number, *request));
+        let waits = self.policy.waits().into_iter();
+        let standby = match *self.door.borrow() {
+            Door::Standby(since) => Some(since),
+            _ => None,
+        };
+        Ok(State {
+            at: self.clock.now(),
+            names: self.directory.names(),
+            policy: self.policy.state().map_err(|e| e.to_string())?.into(),
+            endpoints,
+            ids,
+            given,
+            index: self.index,
+            held: held.collect(),
+            attempts: self.attempts.iter().map(|(number, count)| (*number, *count)).collect(),
+            next_message: self.next_message,
+            requests,
+            out: self.directory.carriers().iter().flat_map(|carrier| carrier.outs()).collect(),
+            waits: waits.map(|(id, until)| (self.directory.name(id).to_string(), until)).collect(),
+            standby,
+        })
+    }
+
+    /// The list as last known, and what an earlier process left in the journal.
+    pub(super) fn start(
+        &mut self,
+        known: ListBody,
+        set_back: bool,
+        waits: Vec<(String, Micros)>,
+    ) -> Vec<Event> {
+        let now = self.clock.now();
+        let mut said = vec![self.listed(ListBody { snapshot: true, ..known })];
+        // A wait that the process before was told binds this one too.
+        for (name, until) in waits {
+            let endpoint = self.directory.listed_id(&name).filter(|_| until > now);
+            said.extend(endpoint.map(|endpoint| Event::Wait { endpoint, wait: until - now }));
+        }
+        let mut live: Vec<(u32, Live)> = self.journal.live().iter().map(|(n, l)| (*n, l.clone())).collect();
+        live.sort_unstable_by_key(|live| live.0);
+        for (number, live) in live {
+            self.held.insert(live.taken.id.clone(), (number, 0));
+            if live.given_up.is_none()
+                && let Some(event) = self.resumed(number, &live, set_back)
+            {
+                said.push(event);
+                continue;
+            }
+            let given_up = match live.given_up {
+                Some(how) => how,
+                // Its class is not one of the settings' any more, so that the module can't judge it.
+                None if !live.may_have_run() => GivenUp::Deferred(0),
+                None => GivenUp::Undeliverable,
+            };
+            self.unwritten.push(Record::GivenUp(number, given_up));
+            self.unsaid.push((number, given_up, live.taken.id.clone()));
+        }
+        said
+    }
+
+    /// A message that an earlier process took on, as the journal has it; none where its class is not one of the
+    /// settings' any more.
+    fn resumed(&mut self, number: u32, live: &Live, set_back: bool) -> Option<Event> {
+        let now = self.clock.now();
+        let class = self.directory.class(&live.taken.class)?;
+        // Guards against a repeat outside the time for which it would be dropped: an age that is not known is beyond
+        // any such time.
+        let ago = |at: Micros| if set_back { now } else { now.saturating_sub(at) };
+        let ran = live.attempts.iter().filter(|attempt| !attempt.never_ran);
+        let may_have_run =
+            ran.map(|attempt| (ago(attempt.at), self.directory.id_of_attempt(&attempt.endpoint))).collect();
+        let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
+        self.attempts.insert(number, attempts);
+        let message = message(number, class, &live.taken, now);
+        Some(Event::Resumed { message, attempts: attempts.into(), may_have_run })
+    }
+}
--- a/crates/sender/tests/node/rough.rs
+++ b/crates/sender/tests/node/rough.rs
@@ -245,3 +245,19 @@
     let grown = node.memory_kb().saturating_sub(before);
     assert!(grown < 4000, "{grown} KB for 100,000 endpoints");
 }
+
+/// Guards discovery against its senders: who is turned away asks again after a rest that many senders have room in.
+#[test]
+fn a_discovery_that_turns_a_call_away_is_left_in_peace() {
+    let (platform, discovery) = (Platform::new(), Served::new());
+    let _node = Node::start(&program(), &platform, &[leaving("e0", 7)], |config| {
+        config["discovery"] = json!(discovery.address.to_string());
+        config["settings"]["balancers"] = json!(48);
+    });
+    discovery.next().reply(status(503));
+    let turned_away = std::time::Instant::now();
+    let again = discovery.next();
+    assert!(turned_away.elapsed() >= std::time::Duration::from_millis(600), "{:?}", turned_away.elapsed());
+    again.reply(Reply::Answer(200, vec![], json!({"index": 2}).to_string()));
+    assert!(discovery.next().http.first.contains("from=2"), "a watch that is answered goes on");
+}
--- a/crates/sender/tests/node/upgrade.rs
+++ b/crates/sender/tests/node/upgrade.rs
@@ -94,8 +94,12 @@
     wait_until(|| old.journal_length() > journal || told.elapsed() > Duration::from_millis(300));
     let new = old.start_beside();
     assert_eq!(new.hand_in("b", "order", 7, 20_000).status(), 202);
-    endpoint.next().reply(status(200));
+    let first = endpoint.next();
     assert!(told.elapsed() >= Duration::from_secs(2), "{:?}", told.elapsed());
+    first.reply(status(200));
+    endpoint.next().reply(status(200));
+    // The second attempt at the first message is the new process's first: its end is told from the one before.
+    wait_until(|| new.figure("svc_open_requests") == 0);
 }
 
 /// Guards the sender against a new process that asks and goes: the old one is as before.
