Let the tests of held-out endpoints and silent callers fail without their guards

Not caught by a test of its own: keeping the name before the yes (an upgrade showed it), a list that names a held-out endpoint again, the bound on callers. All three have an assertion now that fails without them.

--- a/crates/sender/tests/node/duty.rs
+++ b/crates/sender/tests/node/duty.rs
@@ -1,6 +1,8 @@
 //! What on-call staff ask of a sender at its second address.
 
+use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
 
 use serde_json::json;
 use standins::*;
@@ -27,8 +29,13 @@
     assert_eq!(node.figure("svc_out_of_rotation"), 1);
     // Listed anew, and listed in a new process.
     platform.tell(&[listed[0].clone(), leaving("e2", 8)]);
-    wait_until(|| node.figure("svc_registry_entries") == 2);
+    let both_avoided = |node: &Node| {
+        wait_until(|| node.figure("svc_registry_entries") == 2);
+        assert_eq!(node.figure("svc_out_of_rotation"), 2);
+    };
+    both_avoided(&node);
     let node = node.kill_and_restart();
+    both_avoided(&node);
     assert_eq!(node.hand_in("a", "note", 7, 20_000).status(), 202);
     assert_eq!(node.figure("svc_open_requests"), 1);
     assert!(!endpoint.unseen());
@@ -103,9 +110,11 @@
 fn silent_callers_keep_nobody_out() {
     let (platform, endpoint) = (Platform::new(), Served::new());
     let node = start(&platform, &[listing("e1", 7, "plain", endpoint.address)]);
-    let silent: Vec<_> = (0..100).map(|_| TcpStream::connect(node.ops.unwrap()).unwrap()).collect();
+    let mut silent: Vec<_> = (0..100).map(|_| TcpStream::connect(node.ops.unwrap()).unwrap()).collect();
     assert_eq!(node.ops("GET", "/status").status(), 200);
-    drop(silent);
+    // Well before a caller's time is up: the first made way.
+    silent[0].set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    assert!(matches!(silent[0].read(&mut [0]), Ok(0)));
 }
 
 /// Guards a socket that the platform holds: the sender takes what comes there, and opens none of its own.
--- a/crates/sender/tests/node/upgrade.rs
+++ b/crates/sender/tests/node/upgrade.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{self, File};
 use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::net::{TcpListener, UdpSocket};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::time::{Duration, Instant};
 
@@ -21,8 +21,11 @@
 fn start(platform: &Platform, endpoints: &[serde_json::Value]) -> Node {
     let held = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = held.local_addr().unwrap().to_string();
+    // Both are to have this one too, one after the other.
+    let notes = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
     Node::start(&program().inheriting(&held), platform, endpoints, |config| {
         (config["listen"], config["ops"]) = (json!(address), json!("127.0.0.1:0"));
+        config["peer_listen"] = json!(notes);
     })
 }
 
