Let refused senders come again apart, and those with much to send use what others leave

At fault: slow_down set the credit of all who were refused to the same 0; the part of a limit was the same for a sender with one message waiting as for one with ten. Change: credit after a refusal is drawn; a part is nine tenths, three quarters after nothing was left, and up to four times as much for those with several calls waiting while reports show more than half left. Tried and dropped: a drawn delay before a message to an idle destination (no gain beside the drawn credit).

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -269,6 +269,7 @@
             return;
         };
         let (now, sent) = (self.now, call.sent);
+        let luck = chance(self.seed, now, id, call.endpoint).f64();
         self.book.waiting.touch(call.route.0);
         if done {
             self.waking.ended(number);
@@ -288,7 +289,7 @@
                     // Patience grows with it: guards a destination that becomes slow against repeats.
                     route.usual.note(now - sent);
                 }
-                route.record(&self.settings, number, sent, outcome, now);
+                route.record(&self.settings, number, sent, outcome, now, luck);
             }
         }
         if let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) {
@@ -301,8 +302,7 @@
             }
             if first && outcome == Outcome::Crowded && endpoint.out == 0 {
                 let rest = CROWDED_REST << endpoint.crowded.min(4);
-                let luck = chance(self.seed, now, id, call.endpoint).u64(0..=rest);
-                endpoint.rest_until = now + rest / 2 + luck;
+                endpoint.rest_until = now + rest / 2 + (rest as f64 * luck) as Micros;
                 endpoint.crowded += 1;
             }
         }
--- a/crates/decision/src/policy/dispatch.rs
+++ b/crates/decision/src/policy/dispatch.rs
@@ -195,7 +195,8 @@
         }
         let joined = begun.open(endpoint_id, endpoint.kind.bundle);
         route.pace.refill(now);
-        if let Some(part) = route.part(&self.settings, now, class.aim) {
+        if let Some(part) = route.part(&self.settings, now, class.aim, backlog / endpoint.kind.bundle as f64)
+        {
             route.pace.rate = part;
         }
         if joined.is_none() && route.pace.credit < 1.0 {
--- a/crates/decision/src/policy/route.rs
+++ b/crates/decision/src/policy/route.rs
@@ -27,10 +27,15 @@
 /// Smoothed share of a limit left at which its destination has room beyond our part. Within a span the share
 /// falls evenly, so that half is left on average at a destination that is used to its limit.
 pub(crate) const ROOM_LEFT: f64 = 0.6;
-/// Of our part of a limit that many senders use together, what they use while it was used up of late, so that
-/// what went beyond it is made up for, and what they may use where smoothed reports show that all is left.
-pub(crate) const LEAST_PART: f64 = 0.6;
-pub(crate) const MOST_PART: f64 = 2.0;
+/// Of our part of a limit that many senders use together: what they use while the last report shows that none
+/// is left, so that what went beyond it is made up for; what they use else; and what those who have much to
+/// send may use beyond that where all is left.
+pub(crate) const LEAST_PART: f64 = 0.75;
+pub(crate) const PART: f64 = 0.9;
+pub(crate) const FURTHER_PART: f64 = 3.0;
+/// Calls that wait beyond the first for all of that, and the share left from which on there is any.
+pub(crate) const MUCH: f64 = 5.0;
+pub(crate) const MUCH_LEFT: f64 = 0.5;
 /// Where less is left, a limit was used up.
 pub(crate) const NONE_LEFT: f64 = 0.1;
 /// Where so much of a limit is left, it is not for the limit that a call is refused.
@@ -143,9 +148,9 @@
     pub(crate) listed: f64,
     /// Share of the limit that reports say is left, smoothed.
     pub(crate) left: f64,
-    /// When a report last showed that nothing was left.
+    /// The same as the last report showed it, and when.
     #[serde(default)]
-    pub(crate) none_left_at: Micros,
+    pub(crate) left_told: (f64, Micros),
     pub(crate) pace: Pace,
     /// Calls a second served of late, and when that was last counted.
     pub(crate) granted: (f64, Micros),
@@ -308,7 +313,7 @@
         }
         self.told = limit;
         self.left += (left - self.left) / 8.0;
-        self.none_left_at = if left < NONE_LEFT { now } else { 0 };
+        self.left_told = (left, now);
         if left < SHUT_LEFT {
             self.used_up_at = now;
         }
@@ -316,15 +321,18 @@
 
     /// Calls a second that are our part of a limit that is told. Guards it against many senders that each see
     /// little of it: refused calls use it up, so that all who keep to it, or try again, together are refused
-    /// for as long as they do. It harms those who carry several times what the others do.
-    pub(crate) fn part(&self, settings: &Settings, now: Micros, aim: Micros) -> Option<f64> {
+    /// for as long as they do. It costs time where few of them have anything to send.
+    pub(crate) fn part(&self, settings: &Settings, now: Micros, aim: Micros, waiting: f64) -> Option<f64> {
         if self.told <= 0.0 || settings.senders <= FEW_SENDERS {
             return None;
         }
-        let part = if self.none_left_at > 0 && now < self.none_left_at + aim {
-            LEAST_PART
-        } else {
-            1.0 + (MOST_PART - 1.0) * ((self.left - ROOM_LEFT) / (1.0 - ROOM_LEFT)).clamp(0.0, 1.0)
+        let (left, at) = self.left_told;
+        let much = ((waiting - 1.0) / MUCH).clamp(0.0, 1.0);
+        let further = FURTHER_PART * much * ((left - MUCH_LEFT) / (1.0 - MUCH_LEFT)).max(0.0);
+        let part = match now.saturating_sub(at) {
+            age if age < aim && left < NONE_LEFT => LEAST_PART,
+            age if age < aim / 2 => PART + further,
+            _ => PART,
         };
         Some(self.told / settings.senders as f64 * part)
     }
@@ -342,9 +350,11 @@
 
     /// Learns the pace of a destination that refuses: what it granted of late, or our part of what it
     /// is told to take, then less with each refusal. Senders that cannot be seen use the same limit.
-    pub(crate) fn slow_down(&mut self, settings: &Settings, now: Micros, aim: Micros) {
+    pub(crate) fn slow_down(&mut self, settings: &Settings, now: Micros, aim: Micros, luck: f64) {
         self.pace.refill(now);
-        self.pace.credit = self.pace.credit.min(0.0);
+        // Guards against many that were refused together and would come again together.
+        let spread = if settings.senders > FEW_SENDERS { 0.5 - luck } else { 0.0 };
+        self.pace.credit = self.pace.credit.min(spread);
         if now < self.cut_at + aim / 8 {
             return;
         }
@@ -363,6 +373,7 @@
         sent: Micros,
         outcome: Outcome,
         now: Micros,
+        luck: f64,
     ) {
         let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
         if self.bad_run + self.fulls + self.crowds == 0
@@ -399,7 +410,7 @@
             // Refusals of calls that were out together count once.
             Outcome::Full(wait) if sent > self.full_at => {
                 self.full_at = now;
-                self.slow_down(settings, now, aim);
+                self.slow_down(settings, now, aim, luck);
                 let pause = now + ((aim / 32) << self.fulls.min(4));
                 self.wait_until = self.wait_until.max(if wait.is_none() { pause } else { 0 });
                 self.fulls += 1;
--- a/crates/decision/src/routes.rs
+++ b/crates/decision/src/routes.rs
@@ -182,10 +182,10 @@
             if told || call == u64::from(refusals) {
                 route.used_up_at = now;
             }
-            route.record(&settings, call, now - 1_000, Outcome::Full(None), now);
+            route.record(&settings, call, now - 1_000, Outcome::Full(None), now, 0.5);
         }
         now += settings::SECOND;
-        route.record(&settings, u64::MAX, now - 1_000, Outcome::Delivered, now);
+        route.record(&settings, u64::MAX, now - 1_000, Outcome::Delivered, now, 0.5);
         assert_eq!(route.breaker.state, State::Closed);
         route
     }
--- a/crates/fleet/src/partner.rs
+++ b/crates/fleet/src/partner.rs
@@ -1,5 +1,7 @@
 //! A partner's side: what it takes, what it turns away, and what it counts.
 
+use std::collections::VecDeque;
+
 use decision::interface::{Micros, Outcome};
 
 const SECOND: f64 = 1e6;
@@ -38,6 +40,12 @@
     pub bundle: usize,
     /// How long a call takes, in seconds.
     pub takes: f64,
+    /// Seconds after which a report is made anew.
+    pub reports_every: f64,
+    /// Seconds by which it is late.
+    pub reports_late: f64,
+    /// Reports of late, with the number of their span.
+    pub reports: VecDeque<(u64, Vec<f32>)>,
     /// All that happened.
     pub count: Count,
     /// What happened in each second.
@@ -58,6 +66,9 @@
             down: vec![],
             bundle: 1,
             takes: 0.08,
+            reports_every: 0.5,
+            reports_late: 0.18,
+            reports: VecDeque::new(),
             count: Count::default(),
             seconds: vec![],
             tokens: 0.0,
@@ -97,7 +108,17 @@
         self.tokens = (self.tokens + limit * (at - self.at)).min(depth);
         self.at = at;
         self.tokens -= 1.0;
-        let report = vec![(self.tokens / depth).max(0.0) as f32, limit as f32];
+        let fresh = vec![(self.tokens / depth).max(0.0) as f32, limit as f32];
+        let span = (at / self.reports_every) as u64;
+        if self.reports.back().is_none_or(|last| last.0 < span) {
+            self.reports.push_back((span, fresh));
+        }
+        // What was so when the latest span but the report's delay began.
+        let seen = ((at - self.reports_late) / self.reports_every) as u64;
+        while self.reports.len() > 1 && self.reports[1].0 <= seen {
+            self.reports.pop_front();
+        }
+        let report = self.reports.front().map(|first| first.1.clone()).unwrap_or_default();
         if self.tokens < 0.0 {
             self.count(now, |count| count.refused += 1);
             return (Outcome::Full(None), report);
