Spend no further credit on failed connections, and lift the busy senders' part less

At fault: the credit that a failed connection gave back let each of 100 senders make its five failures at once; the part of those with much to send, up to 3.9 times theirs, where all have much. Change: no credit back for a failed connection, further part 1.

--- a/crates/decision/src/policy/route.rs
+++ b/crates/decision/src/policy/route.rs
@@ -32,7 +32,7 @@
 /// send may use beyond that where all is left.
 pub(crate) const LEAST_PART: f64 = 0.75;
 pub(crate) const PART: f64 = 0.9;
-pub(crate) const FURTHER_PART: f64 = 3.0;
+pub(crate) const FURTHER_PART: f64 = 1.0;
 /// Calls that wait beyond the first for all of that, and the share left from which on there is any.
 pub(crate) const MUCH: f64 = 5.0;
 pub(crate) const MUCH_LEFT: f64 = 0.5;
@@ -427,10 +427,7 @@
             // connections that are cut on the way, one by one, for an outage. Where the process ended, the
             // next call tells. It harms where an outage shows in resets alone, with answers between them.
             Outcome::Reset if self.lost_at <= self.answered_at => self.lost_at = now,
-            Outcome::ConnectFailed => {
-                (self.bad_run, self.pace.credit) = (self.bad_run + 1, self.pace.credit + 1.0)
-            }
-            Outcome::Error | Outcome::Reset | Outcome::TimedOut => self.bad_run += 1,
+            Outcome::Error | Outcome::ConnectFailed | Outcome::Reset | Outcome::TimedOut => self.bad_run += 1,
             // It used up nothing of the limit there. Guards the pace where messages are over before they go.
             Outcome::Moot { no_slot: false } => self.pace.credit += 1.0,
             // One table that is full is no outage; nothing but that, time and again, may be one.
