Pass over reports with numbers that can't be meant, which could overflow the pace's clock

NaN in a report stayed in the smoothed share that is left. Change: fields that are no finite number are passed over, the sum saturates. The test fails without the second.

--- a/crates/decision/src/estimate.rs
+++ b/crates/decision/src/estimate.rs
@@ -125,7 +125,7 @@
 
     /// When it allows a call.
     pub fn allows_at(&self) -> Micros {
-        self.at + ((1.0 - self.credit).max(0.0) / self.rate * 1e6).ceil() as Micros
+        self.at.saturating_add(((1.0 - self.credit).max(0.0) / self.rate * 1e6).ceil() as Micros)
     }
 }
 
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -249,7 +249,7 @@
     }
 
     fn note_report(&mut self, endpoint: EndpointId, report: &[f32]) {
-        let field = |at: Option<usize>| at.and_then(|at| report.get(at)).copied().map(f64::from);
+        let field = |at: Option<usize>| Some(f64::from(*report.get(at?)?)).filter(|field| field.is_finite());
         let (left, limit) = (field(self.settings.report.0), field(self.settings.report.1));
         let Some(id) = self.endpoints.route(endpoint) else { return };
         let (Some(limit), Some(route)) = (limit, self.routes.get_mut(&id)) else { return };
--- a/crates/decision/tests/refusals.rs
+++ b/crates/decision/tests/refusals.rs
@@ -216,3 +216,32 @@
     assert_eq!((closes(3, SECOND), closes(48, SECOND)), (1, 3));
     assert_eq!(closes(48, SECOND / 10), 1);
 }
+
+/// A limit next to nothing made the time until the next call overflow, where no list says better.
+#[test]
+fn reports_that_cannot_be_meant_do_no_harm() {
+    for (left, limit) in [
+        (f32::NAN, 20.0),
+        (0.0, f32::NAN),
+        (0.5, f32::INFINITY),
+        (0.0, 1e-40),
+        (-1.0, f32::MAX),
+        (1e30, -5.0),
+        (0.0, 0.0),
+    ] {
+        for weights in [Weights::None, Weights::Nominal] {
+            let settings = Settings { senders: 48, weights, ..settings() };
+            let mut s = Sender::new(settings, &[Entry { weight: 20.0, ..entry(1, 0) }]);
+            for outcome in [Outcome::Delivered, Outcome::Full(None), Outcome::Delivered] {
+                s.accept(SAFE);
+                if !s.out.is_empty() {
+                    end_with(&mut s, outcome, left, limit);
+                }
+                s.pass(SECOND);
+            }
+            s.pass(30 * SECOND);
+            let delivered = s.sent.len() > 1;
+            assert!(delivered || s.refused.len() + s.failed.len() >= 2, "{left} {limit}: all have an end");
+        }
+    }
+}
