--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -86,3 +86,37 @@
         assert!(count.in_time * 100 >= count.offered * 83, "seed {seed}: {count:?}");
     }
 }
+
+/// A limit that is told to be lowered counts as a shortage at once, before a call is refused.
+#[test]
+fn a_limit_that_is_lowered_is_believed_at_once() {
+    let counts = [1, 2, 3, 4, 5, 6].map(|seed| {
+        let partner = Partner { limit: 85.0, lowered: vec![(6.0, 15.0, 0.5)], ..Partner::default() };
+        let mut world = World::new(100, vec![partner], seed);
+        world.run(25.0, 60.0);
+        assert_eq!(world.verdicts, Verdicts::default(), "seed {seed}");
+        world.total()
+    });
+    let total: Count = counts.into_iter().sum();
+    println!("{:.4} refused, {:.4} in time", total.part_refused(), total.part_in_time());
+    assert!(total.part_refused() <= 0.03, "{:.3} refused: {counts:?}", total.part_refused());
+}
+
+/// One sender in six carries most, and clients hand in clumps: while no shortage is seen it may use what is left.
+#[test]
+fn a_busy_sender_of_a_hundred_uses_what_idle_ones_leave() {
+    let counts = [1, 2, 3, 4, 5, 6].map(|seed| {
+        let mut world = World::new(100, vec![Partner { limit: 57.0, ..Partner::default() }], seed);
+        world.traffic(|sender| if sender % 6 == 0 { 5.0 } else { 0.5 });
+        let mut rng = fastrand::Rng::with_seed(seed);
+        for _ in 0..3 {
+            world.clump(0, 68, rng.f64() * 18.0, 2.0);
+        }
+        world.run(20.0, 31.0);
+        assert_eq!(world.verdicts, Verdicts::default(), "seed {seed}");
+        world.total()
+    });
+    let total: Count = counts.into_iter().sum();
+    println!("{:.4} refused, {:.4} in time", total.part_refused(), total.part_in_time());
+    assert!(total.part_in_time() >= 0.8, "{:.3} in time: {counts:?}", total.part_in_time());
+}
--- a/crates/fleet/tests/small.rs
+++ b/crates/fleet/tests/small.rs
@@ -51,7 +51,7 @@
 /// Some senders carry ten times what the others do, and clients hand in clumps for one partner at one sender.
 #[test]
 fn a_busy_sender_uses_what_idle_ones_leave() {
-    for (asked, clumps, least) in [(0.45, 1, 0.80), (0.36, 3, 0.79)] {
+    for (asked, clumps, least) in [(0.45, 1, 0.80), (0.36, 3, 0.79), (0.6, 1, 0.745)] {
         let (in_time, refused) = means(|seed| {
             let (partners, rates) = partners(asked);
             let mut world = World::new(48, partners, seed);
@@ -70,6 +70,21 @@
     }
 }
 
+/// A dozen senders share a limit that is asked for in clumps beyond it: their parts find back to it after each shortage.
+#[test]
+fn parts_grow_back_after_a_shortage() {
+    let (in_time, refused) = means(|seed| {
+        let partner = Partner { limit: 57.0, law: Law::Span, depth: 1.5, ..Partner::default() };
+        let mut world = World::new(12, vec![partner], seed);
+        for stretch in 0..10 {
+            world.run(2.5, 57.0 * 0.9 * if stretch % 2 == 0 { 0.7 } else { 1.5 });
+        }
+        world
+    });
+    assert!(in_time >= 0.78, "{in_time:.3} in time");
+    assert!(refused <= 0.15, "{refused:.3} refused");
+}
+
 /// After a release few of the senders hold all the work: an even part is too little for them.
 #[test]
 fn after_a_release_those_that_hold_the_work_use_the_limits() {
