--- a/crates/fleet/tests/outages.rs
+++ b/crates/fleet/tests/outages.rs
@@ -27,6 +27,18 @@
     }
 }
 
+/// Where few senders carry much, it is their breakers that hold what comes for a partner that is down.
+#[test]
+fn few_senders_hold_what_comes_in_an_outage() {
+    for seed in SEEDS {
+        let mut world = World::new(2, vec![Partner { down: vec![(6.0, 11.0)], ..Partner::default() }], seed);
+        world.run(15.0, 40.0);
+        let failed = world.total().failed;
+        assert!(failed <= 24, "seed {seed}: {failed} failed calls in five seconds");
+        assert_eq!(world.verdicts, Verdicts::default(), "seed {seed}");
+    }
+}
+
 /// A partner that comes back cold gets no more than it bears, from all senders together, and is used all the same.
 #[test]
 fn a_partner_that_is_back_is_not_pushed_over() {
