--- a/crates/decision/src/policy/answers.rs
+++ b/crates/decision/src/policy/answers.rs
@@ -4,7 +4,6 @@
 
 use super::Policy;
 use crate::book::Held;
-use crate::estimate::worth_left;
 use crate::interface::*;
 
 impl Policy {
@@ -54,24 +53,6 @@
         }
     }
 
-    /// Part of the worth that is left to a tenant's message when it may be beyond the tenant's share, as
-    /// far as one sender can tell.
-    pub(super) fn within_share(&self, tenant: usize) -> f64 {
-        let (Some(rate), Some(t)) = (self.tenants.get(tenant), self.settings.tenants.get(tenant)) else {
-            return 1.0;
-        };
-        let total = rate.0 * self.settings.senders as f64;
-        let within = if total > t.quota { t.quota / total } else { 1.0 };
-        within + (1.0 - within) * self.settings.over_share_worth
-    }
-
-    /// What a message is worth if it is delivered at that time.
-    pub(super) fn worth_at(&self, held: &Held, at: Micros) -> f64 {
-        let class = &self.settings.classes[held.message.class];
-        let left = worth_left(self.settings.decay, class, held.aim, held.deadline, at);
-        class.worth * left * self.within_share(held.message.tenant)
-    }
-
     /// Guards the buffer: where it fills with what a few destinations cannot take, messages for the others
     /// would be turned away at the door. Refuses those of least worth at the time they can expect to go.
     pub(super) fn shed(&mut self, actions: &mut Vec<Action>) {
@@ -98,15 +79,4 @@
             self.answer(id, wait, actions);
         }
     }
-
-    /// How long a destination's messages can expect to wait.
-    pub(super) fn expected_wait(&self, destination: DestinationId) -> Micros {
-        let (now, backlog) = (self.now, self.book.waiting.count(destination) as f64);
-        // An outage is taken to last as long again as it has; a backlog to go at the pace of late.
-        let wait = self.usable(destination).map(|(_, r)| {
-            let down = if r.down(&self.settings.rules, now) { now - r.answered_at.min(now) } else { 0 };
-            down + (backlog / r.granted.0.max(r.usual_rate(&self.settings.rules)).max(0.1) * 1e6) as Micros
-        });
-        wait.min().unwrap_or(Micros::MAX / 4)
-    }
 }
--- a/crates/decision/src/policy/dispatch.rs
+++ b/crates/decision/src/policy/dispatch.rs
@@ -1,14 +1,11 @@
 //! The one path of every send, and when to look again.
 
-use super::route::{BUNDLE_WEIGHT, CALM_AIMS, State};
-use super::{FEW_SENDERS, HOLD, KEPT_LOST, PLACES_FREE, Policy, RESTART};
+use super::route::{BUNDLE_WEIGHT, State};
+use super::{FEW_SENDERS, HOLD, PLACES_FREE, Policy, RESTART};
 use crate::estimate::chance;
 use crate::interface::*;
 use crate::round::{Begun, Round, Verdict};
 
-/// A ramp is looked at every so many ticks.
-const RAMP_TICKS: Micros = 1;
-
 /// More destinations that wait for a slot than this are a crowd.
 const CROWD: usize = 256;
 
@@ -59,14 +56,6 @@
         }
     }
 
-    /// Nothing more goes to the destination in this tick: it is looked at when that can change by itself.
-    fn rest(&mut self, destination: DestinationId, round: &Round) {
-        self.book.waiting.set_ready(destination, None);
-        if !round.lacks_slot(destination) {
-            self.book.waiting.look_at(destination, self.next_chance(destination));
-        }
-    }
-
     /// Of each class and tenant, the aim before which messages are late. Guards what is in time against what
     /// is late or given up: oldest first, a destination that is behind would get each message when nobody
     /// waits for it any more. It hurts those that wait longer than others.
@@ -131,21 +120,6 @@
         choices.into_iter().map(|choice| choice.4).collect()
     }
 
-    /// When a destination that nothing may go to now can change that by itself. A ramp rises all the time: it
-    /// is looked at every few ticks, the fewer the more destinations wait.
-    fn next_chance(&self, destination: DestinationId) -> Option<Micros> {
-        let (now, rules, aim) = (self.now, &self.settings.rules, self.shortest_aim());
-        let often = self.settings.period * (RAMP_TICKS + self.book.waiting.destinations() as Micros / 64);
-        let ready = self.endpoints.of(destination).filter(|(_, e)| e.ready);
-        let rests = ready.map(|(_, e)| e.rest_until.max(e.places.allow_at(e.out, PLACES_FREE)));
-        let chances = self.usable(destination).flat_map(|(_, r)| {
-            let ramp = if r.cold_share(rules, now).is_some() { now + often } else { 0 };
-            let part = r.short_at.map_or([0, 0], |at| [at + aim, at + CALM_AIMS * aim]);
-            [r.wait_until, r.breaker.due(), ramp, r.pace.allows_at(), part[0], part[1]]
-        });
-        chances.chain(rests).filter(|at| *at > now).min()
-    }
-
     /// Every guard on a send, each in this one spot; sends if all agree.
     pub(super) fn admit(
         &mut self,
@@ -268,7 +242,7 @@
             let timeout = patience.min(last_call - now).min(until - now).max(1);
             // Safe to repeat: nothing is lost with the connection but time.
             let hold = if class.effect == Effect::Repeatable { 0 } else { HOLD };
-            let fresh = class.effect == Effect::Once && self.kept_lost > KEPT_LOST;
+            let fresh = self.fresh_connection(class.effect);
             actions.push(Action::Attempt { message: id, endpoint: endpoint_id, timeout, hold, fresh });
         }
         Verdict::Sent
@@ -292,24 +266,4 @@
             }
         }
     }
-
-    /// Asks to be woken when the next decision can fall due without an event.
-    pub(super) fn remind(&mut self, actions: &mut Vec<Action>) {
-        let now = self.now;
-        let aim = self.shortest_aim();
-        let silent = self.calls.unheard();
-        let silent = silent.filter_map(|(id, sent)| Some(sent + self.routes.get(&id)?.patience(aim)));
-        let due = [self.book.next_due(), self.lines.next_due(), self.ask_at, self.unbound.first().copied()];
-        let all = due
-            .into_iter()
-            .flatten()
-            .chain(self.routes.next_due(now + self.settings.period))
-            .chain(self.waking.next_due())
-            .chain(silent);
-        let Some(next) = all.filter(|at| *at > now).min() else { return };
-        if self.reminder.is_none_or(|at| at <= now || next < at) {
-            self.reminder = Some(next);
-            actions.push(Action::Remind { at: next, token: 0 });
-        }
-    }
 }
--- a/crates/decision/src/policy/route.rs
+++ b/crates/decision/src/policy/route.rs
@@ -306,6 +306,13 @@
         sent >= self.answered_at && sent + self.patience(aim) <= now
     }
 
+    /// Guards against reports that can't be meant: the list is rough, and limits are lowered for a while,
+    /// but not by more than this.
+    pub(crate) fn believes(&self, limit: f64) -> bool {
+        let meant = self.listed == 0.0 || (self.listed / 16.0..=self.listed * 4.0).contains(&limit);
+        limit > 0.0 && meant
+    }
+
     /// A report tells of a limit, and what is left of it. One lowered, or raised again, by half or more takes
     /// the pace along. Guards a destination whose limit is lowered for a while against the pace from before,
     /// and what waits for it against the pace from then. It harms where such reports are wrong.
