--- a/crates/journal/src/inspect.rs
+++ b/crates/journal/src/inspect.rs
@@ -8,7 +8,7 @@
 use crate::load::{DamagedFile, Loaded, load};
 use crate::record::{Live, Remembered};
 use crate::replay::Follows;
-use crate::store::Segment;
+use crate::segment::Segment;
 
 /// How often it is begun anew when files go while they are read.
 const TRIES: usize = 10;
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -18,6 +18,7 @@
 mod open;
 mod record;
 mod replay;
+mod segment;
 pub mod sim;
 mod state;
 mod store;
--- a/crates/journal/src/load.rs
+++ b/crates/journal/src/load.rs
@@ -8,11 +8,8 @@
 use crate::format::{BadHead, HEAD, Head};
 use crate::legacy;
 use crate::replay::{Follows, Replay, Stretch, Unreadable, floor};
+use crate::segment::{ASIDE, Segment, blocks, name, sequence};
 use crate::state::State;
-use crate::store::{Segment, blocks, name, sequence};
-
-/// Begins the name of a file that is kept aside for a person to look at.
-pub const ASIDE: &str = "damaged-";
 
 /// A file with a damaged stretch; without one it is missing, or has no head.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/journal/src/open.rs
+++ b/crates/journal/src/open.rs
@@ -10,8 +10,9 @@
 use crate::load::{DamagedFile, Loaded, WHOLE, load};
 use crate::record::Micros;
 use crate::replay::Follows;
+use crate::segment::{BLOCK, Segment, blocks, name};
 use crate::state::State;
-use crate::store::{BLOCK, Damage, Journal, Options, Segment, blocks, name};
+use crate::store::{Damage, Journal, Options};
 
 /// The file that an earlier version's journal is written anew to, until it is whole.
 const NEW: &str = "journal.new";
@@ -138,7 +139,7 @@
         }
         // Files that were begun and never used are in the way of a further one.
         let last = segments.last().map_or(0, |last| last.sequence);
-        while let Some(at) = dying.iter().position(|(file, _)| crate::store::sequence(file) > Some(last)) {
+        while let Some(at) = dying.iter().position(|(file, _)| crate::segment::sequence(file) > Some(last)) {
             let (file, length) = dying.remove(at);
             disk.remove(&file).map_err(of(&file))?;
             used -= blocks(length);
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -6,12 +6,10 @@
 use crate::disk::Disk;
 use crate::error::AppendError;
 use crate::format::{HEAD, Head, Writer};
-use crate::load::ASIDE;
 use crate::record::{Live, Micros, Record, Remembered, Taken};
+use crate::segment::{ASIDE, BLOCK, Segment, blocks, name};
 use crate::state::{ByNumber, LATER_RECORDS, State, need};
 
-/// Each file counts in whole blocks of so many bytes.
-pub const BLOCK: u64 = 512;
 /// A slice of compaction writes so many bytes at most, and one message more.
 pub const SLICE_BYTES: u64 = 64 * 1024;
 /// A slice looks at so many messages at most.
@@ -61,47 +59,6 @@
     pub segment: Option<u64>,
 }
 
-/// A file of the log.
-#[derive(Debug, Default)]
-pub(crate) struct Segment {
-    pub sequence: u64,
-    /// Its file.
-    pub name: String,
-    pub length: u64,
-    /// Frames in it.
-    pub records: u32,
-    /// Messages that began in it or were moved to it; those of them that are over or were moved on are passed over.
-    pub residents: Vec<u32>,
-    /// Entries of the ledger likewise.
-    pub entries: Vec<u64>,
-    /// A stretch of it can't be read.
-    pub damaged: bool,
-    /// Nor can its head: it can't be appended to.
-    pub headless: bool,
-}
-
-impl Segment {
-    pub(crate) fn new(sequence: u64, length: u64) -> Self {
-        Self { sequence, name: name(sequence), length, ..Self::default() }
-    }
-}
-
-/// A segment's file.
-pub(crate) fn name(sequence: u64) -> String {
-    format!("journal-{sequence:012}")
-}
-
-/// The sequence that a file's name tells.
-pub(crate) fn sequence(name: &str) -> Option<u64> {
-    let digits = name.strip_prefix("journal-")?;
-    (digits.len() == 12 && digits.bytes().all(|b| b.is_ascii_digit())).then(|| digits.parse().ok()).flatten()
-}
-
-/// The length as it counts on the disk.
-pub(crate) fn blocks(length: u64) -> u64 {
-    length.next_multiple_of(BLOCK)
-}
-
 /// How far compaction has come with the oldest segment.
 #[derive(Debug, Default)]
 struct Cursor {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -8,6 +8,7 @@
 mod proxy;
 mod scenario;
 mod stores;
+mod stream;
 mod throughput;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
--- a/crates/rig/src/stores.rs
+++ b/crates/rig/src/stores.rs
@@ -5,7 +5,7 @@
 
 use journal::{Journal, Options, Record};
 
-use crate::journal_bench::{Stream, Times, used};
+use crate::stream::{Stream, Times, used};
 
 /// A store that keeps records so that they outlast the process, not the machine.
 trait Store {
--- a/crates/sender/src/directory.rs
+++ b/crates/sender/src/directory.rs
@@ -8,7 +8,7 @@
 use ops::held_out::{HeldOut, Past, Refused};
 
 use crate::config::Names;
-use crate::platform::{ListBody, Listing as Listed};
+use crate::list::{ListBody, Listing as Listed};
 use crate::ports::Carrier;
 
 /// Entries of a long list that are taken in in one turn: bounds the pause that a list makes.
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -11,7 +11,7 @@
 use decision::interface::*;
 use decision::policy::Policy;
 use handover::State;
-use journal::{GivenUp, Journal, Record, Remembered, Taken};
+use journal::{GivenUp, Journal, Record, Taken};
 use ops::door::Door;
 use ops::figures::{End, Ends};
 use ops::held_out::HeldOut;
@@ -21,14 +21,17 @@
 use crate::again::Again;
 use crate::config::{self, Config};
 use crate::directory::{Directory, SLICE};
-use crate::handover::{Before, Link};
+use crate::handover::Before;
 use crate::http;
+use crate::link::Link;
+use crate::list::{ListBody, Listed};
 use crate::peers::Peers;
-use crate::platform::{self, ListBody, Notice};
-use crate::ports::{Answer, AttemptOver, Carrier, Clock, Front, HandedIn, Inbound, Pace, Part};
+use crate::platform::{self, Notice};
+use crate::ports::{Answer, AttemptOver, Carrier, Clock, Front, Inbound, Pace, Part};
 
 mod begin;
 mod duty;
+mod taking;
 
 /// From SIGTERM until the process may be killed.
 const STOP_WITHIN: Micros = 3_700_000;
@@ -272,7 +275,7 @@
 impl Driver {
     /// Turns what a task says into events for the module.
     fn fold(&mut self, inbound: Inbound, said: &mut Vec<Event>) {
-        if let Inbound::Listed(platform::Listed(list)) = &inbound {
+        if let Inbound::Listed(Listed(list)) = &inbound {
             self.index = list.index;
         }
         match inbound {
@@ -281,13 +284,13 @@
             Inbound::CallOver(ends) => ends.into_iter().for_each(|end| said.push(self.ended(end))),
             Inbound::Event(event) => said.push(event),
             Inbound::Successor(link) => self.successor = Some(link),
-            Inbound::Listed(platform::Listed(list)) if self.directory.wants_slices(&list) => {
+            Inbound::Listed(Listed(list)) if self.directory.wants_slices(&list) => {
                 if self.directory.put_off(list).is_err() {
                     eprintln!("the list changes faster than it can be taken in: it is asked for as a whole");
                     self.whole_list.notify_one();
                 }
             }
-            Inbound::Listed(platform::Listed(list)) => said.push(self.listed(list)),
+            Inbound::Listed(Listed(list)) => said.push(self.listed(list)),
             Inbound::NoticesKept(messages) => {
                 for MessageId(number) in messages {
                     if let Some(id) = self.journal.live().get(&number).map(|l| l.taken.id.clone()) {
@@ -320,118 +323,10 @@
         }
     }
 
-    fn handed_in(&mut self, message: HandedIn, said: &mut Vec<Event>) {
-        let HandedIn { taken, class, request, answer } = message;
-        if let Some((number, _)) = self.held.get(&taken.id) {
-            // The client did not hear that it is taken on, and says it once more.
-            match self.fresh.get_mut(number) {
-                Some(fresh) => fresh.answers.push((request, answer)),
-                None => drop(answer.send(Answer::Taken)),
-            }
-            return;
-        }
-        // Guards the room against messages that nobody takes: a new destination's first list may be on its way.
-        if !self.directory.names_destination(taken.destination) {
-            self.ends.count(&taken.class, End::Throttled);
-            let _ = answer.send(Answer::Refused(UNLISTED_AGAIN));
-            return;
-        }
-        // Guards an effect against a second copy by the same id: how it ended is told, and it is not sent again.
-        if self.journal.retains(&taken.class)
-            && let Some(end) = self.journal.remembered(&taken.id, self.clock.now())
-        {
-            let _ = answer.send(if end.delivered { Answer::Delivered } else { Answer::Failed });
-            return;
-        }
-        let pending: u64 = self.fresh.values().map(|fresh| self.journal.room_for(&fresh.taken)).sum();
-        if !self.journal.has_room(&taken, pending) {
-            self.ends.count(&taken.class, End::Throttled);
-            let _ = answer.send(Answer::Refused(NO_ROOM_AGAIN));
-            return;
-        }
-        let mut number = self.next_message;
-        // Guards a message that has lived through all numbers against another under its own.
-        while self.journal.live().contains_key(&number) || self.fresh.contains_key(&number) {
-            number = number.wrapping_add(1);
-        }
-        self.next_message = number.wrapping_add(1);
-        said.push(Event::Accepted(self::message(number, class, &taken, self.clock.now())));
-        self.held.insert(taken.id.clone(), (number, request));
-        self.fresh.insert(number, Fresh { taken, answers: vec![(request, answer)] });
-    }
-
-    /// A withdrawal belongs to its own request: guards a message against another client that used its id.
-    fn withdrawn(&mut self, id: &str, request: u64, said: &mut Vec<Event>) {
-        let Some((number, taken_by)) = self.held.get(id).copied() else { return };
-        if let Some(fresh) = self.fresh.get_mut(&number) {
-            fresh.answers.retain(|waiting| waiting.0 != request);
-            if !fresh.answers.is_empty() {
-                return;
-            }
-            self.fresh.remove(&number);
-        } else if taken_by == request {
-            self.over(number, false);
-        } else {
-            return;
-        }
-        said.push(Event::Left(MessageId(number)));
-        self.forget(number, id);
-    }
-
-    fn ended(&mut self, end: AttemptOver) -> Event {
-        let number = end.message.0;
-        let live = self.journal.live().get(&number);
-        let owed = live.filter(|live| live.given_up.is_none()).map(|live| live.taken.clone());
-        // Over already, or given up: what comes now changes nothing.
-        let mut terminal = true;
-        if let Some(taken) =
-            owed.filter(|taken| self.held.get(&taken.id).is_some_and(|held| held.0 == number))
-        {
-            terminal = end.gone || end.outcome == Outcome::Delivered;
-            if terminal {
-                if end.outcome == Outcome::Delivered {
-                    self.ends.count(&taken.class, End::Fulfilled);
-                }
-                self.over(number, end.outcome == Outcome::Delivered);
-                self.forget(number, &taken.id);
-            } else {
-                let never_ran = end.outcome.never_ran();
-                self.unwritten.push(Record::Ended { message: number, attempt: end.attempt, never_ran });
-            }
-        }
-        Event::Ended {
-            message: end.message,
-            attempt: end.attempt,
-            endpoint: end.endpoint,
-            outcome: end.outcome,
-            terminal,
-            took: end.took,
-            report: end.report,
-        }
-    }
-
-    /// Nothing more is owed to a message. What must not take effect again, and may have, is remembered where the
-    /// installation keeps a ledger; what was handed back unseen may come again.
-    fn over(&mut self, number: u32, delivered: bool) {
-        if let Some(live) = self.journal.live().get(&number)
-            && self.journal.retains(&live.taken.class)
-            && (delivered || live.may_have_run() || live.given_up == Some(GivenUp::Undeliverable))
-        {
-            let (id, at) = (live.taken.id.clone(), self.clock.now());
-            self.unwritten.push(Record::Remembered(Remembered { id, delivered, at }));
-        }
-        self.unwritten.push(Record::Over(number));
-    }
-
     fn listed(&mut self, list: ListBody) -> Event {
         self.directory.listed(list, || endpoints_of_attempts(&self.journal))
     }
 
-    fn forget(&mut self, number: u32, id: &str) {
-        self.attempts.remove(&number);
-        self.held.remove(id);
-    }
-
     fn notify(&self, number: u32, how: GivenUp, id: String) {
         let _ = self.notices.send(Notice { message: MessageId(number), id, how });
     }
--- a/crates/sender/src/driver/begin.rs
+++ b/crates/sender/src/driver/begin.rs
@@ -8,7 +8,7 @@
 use ops::door::Door;
 
 use super::{Driver, message};
-use crate::platform::ListBody;
+use crate::list::ListBody;
 
 impl Driver {
     /// What another process knew, with what is in the journal that it gave up.
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -12,19 +12,16 @@
 use std::time::Duration;
 
 use decision::interface::{EndpointId, Event, MessageId, Micros};
-use handover::{Answer, Outs, State, ToNew, ToOld, frame, step};
+use handover::{Answer, Outs, State, ToNew, ToOld, step};
 use ops::call::Call;
 use ops::door::Door;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
-use tokio::task::{AbortHandle, JoinHandle};
+use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::link::Link;
 use crate::ports::{Carrier, Clock, Front, HandedIn, Inbound, Pace, Part, Told};
 
 const SOCKET: &str = "successor";
@@ -38,58 +35,6 @@
     Path::new("/proc/self/fd").join(folder.as_raw_fd().to_string()).join(SOCKET)
 }
 
-/// The two processes' connection.
-#[derive(Debug)]
-pub struct Link {
-    reader: OwnedReadHalf,
-    writer: OwnedWriteHalf,
-}
-
-impl Link {
-    async fn send(&mut self, message: &impl Serialize) -> Result<(), String> {
-        let frame = frame::write(message).map_err(|e| e.to_string())?;
-        self.writer.write_all(&frame).await.map_err(|e| e.to_string())
-    }
-
-    async fn receive<T: DeserializeOwned>(&mut self) -> Result<T, String> {
-        receive(&mut self.reader).await
-    }
-
-    /// Both ways as channels. What waits to be written is bounded by clients' connections and calls that are out. The
-    /// task ends once all that was said is written.
-    fn split<Out: Serialize + 'static, In: DeserializeOwned + 'static>(
-        self,
-    ) -> (UnboundedSender<Out>, UnboundedReceiver<In>, JoinHandle<()>) {
-        let Self { mut reader, mut writer } = self;
-        let (say, mut said) = unbounded_channel::<Out>();
-        let (hear, heard) = unbounded_channel();
-        let writing = tokio::task::spawn_local(async move {
-            while let Some(message) = said.recv().await {
-                let Ok(frame) = frame::write(&message) else { return };
-                if writer.write_all(&frame).await.is_err() {
-                    return;
-                }
-            }
-        });
-        tokio::task::spawn_local(async move {
-            while let Ok(message) = receive(&mut reader).await {
-                if hear.send(message).is_err() {
-                    return;
-                }
-            }
-        });
-        (say, heard, writing)
-    }
-}
-
-async fn receive<T: DeserializeOwned>(reader: &mut OwnedReadHalf) -> Result<T, String> {
-    let mut head = [0; 4];
-    reader.read_exact(&mut head).await.map_err(|e| e.to_string())?;
-    let mut body = vec![0; frame::body_length(head).map_err(|e| e.to_string())?];
-    reader.read_exact(&mut body).await.map_err(|e| e.to_string())?;
-    frame::read(&body).map_err(|e| e.to_string())
-}
-
 /// Listens for a process that is started beside this one. Only who holds the journal's lock does.
 ///
 /// # Errors
@@ -107,8 +52,7 @@
                 tokio::time::sleep(LOOK).await;
                 continue;
             };
-            let (reader, writer) = stream.into_split();
-            let mut link = Link { reader, writer };
+            let mut link = Link::of(stream);
             let asked = timeout(ASK_WITHIN, link.receive()).await;
             if matches!(asked, Ok(Ok(ToOld::Ask))) && inbound.send(Inbound::Successor(link)).is_err() {
                 return;
@@ -121,8 +65,7 @@
 /// The process that holds the folder, where one listens.
 pub async fn connect(state: &Path) -> Option<Link> {
     let folder = File::open(state).ok()?;
-    let (reader, writer) = UnixStream::connect(name(&folder)).await.ok()?.into_split();
-    Some(Link { reader, writer })
+    Some(Link::of(UnixStream::connect(name(&folder)).await.ok()?))
 }
 
 /// Asks it for its state.
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod handover;
 pub mod http;
 mod kept;
+mod link;
+mod list;
 mod look;
 pub mod peers;
 pub mod platform;
--- a/crates/sender/src/platform.rs
+++ b/crates/sender/src/platform.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use decision::interface::{Event, MessageId};
 use hyper::{Request, StatusCode};
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, watch::Receiver};
 use tokio::time::timeout;
@@ -17,6 +17,7 @@
 
 use crate::again::{Again, Unanswered};
 use crate::http::conn::Conn;
+use crate::list::{ListBody, Listed};
 use crate::ports::{BODY_LIMIT, Inbound};
 
 /// How long a watch may be held open.
@@ -35,47 +36,6 @@
 /// How long a notice may take; it is sent again after that.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The list of endpoints, whole or changes of it, as discovery writes it.
-#[derive(Debug, Default, Clone, Deserialize)]
-pub struct ListBody {
-    /// Its version.
-    #[serde(default)]
-    pub index: u64,
-    /// Whether it is the whole list.
-    #[serde(default)]
-    pub snapshot: bool,
-    /// Its entries.
-    #[serde(default)]
-    pub endpoints: Vec<Listing>,
-}
-
-/// One entry.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Listing {
-    /// The same at every sender.
-    pub name: String,
-    /// Where this sender dials it.
-    #[serde(default)]
-    pub address: String,
-    /// Its zone, by name.
-    #[serde(default)]
-    pub zone: String,
-    /// Its kind, by name.
-    #[serde(default, rename = "type")]
-    pub kind: String,
-    /// Its destination.
-    pub group: u16,
-    /// `active`, `leaving` or `left`.
-    pub status: String,
-    /// Its weight.
-    #[serde(default)]
-    pub weight: f64,
-}
-
-/// News of the list.
-#[derive(Debug)]
-pub struct Listed(pub ListBody);
-
 /// One request to the platform, on a connection that is kept if all went well.
 async fn ask(
     kept: &mut Option<Conn>,
--- a/crates/sender/src/ports.rs
+++ b/crates/sender/src/ports.rs
@@ -13,7 +13,8 @@
 use journal::Taken;
 use tokio::sync::oneshot;
 
-use crate::platform;
+use crate::link::Link;
+use crate::list::Listed;
 
 /// Takes messages on from clients. What it is handed goes to the driver as [`Inbound::HandedIn`], and a client that
 /// goes away before its answer as [`Inbound::Withdrawn`]; it answers nobody before the driver has.
@@ -85,13 +86,13 @@
     /// Goes to the module as it is.
     Event(Event),
     /// Discovery told of endpoints.
-    Listed(platform::Listed),
+    Listed(Listed),
     /// The platform has these notices.
     NoticesKept(Vec<MessageId>),
     /// On-call staff ask for something.
     Ops(ops::call::Call, oneshot::Sender<Told>),
     /// A process that was started beside this one asks to take over.
-    Successor(crate::handover::Link),
+    Successor(Link),
     /// A line on the state is to be written to the log.
     Status,
     /// The configuration is to be read again.
--- a/crates/sender/src/process.rs
+++ b/crates/sender/src/process.rs
@@ -17,11 +17,12 @@
 
 use crate::config::{self, Config};
 use crate::driver::{self, Ended, Parts};
-use crate::handover::{self as link, Before, Carried, Link};
+use crate::handover::{self as link, Before, Carried};
 use crate::http;
 use crate::http::calls::{Calls, Limits};
 use crate::http::intake::Intake;
 use crate::kept;
+use crate::link::Link;
 use crate::peers::Peers;
 use crate::ports::{Carrier, Clock, Front, Inbound};
 
