Switch what is known on by the operators' file alone, and measure it in rigs

So it is off without [known] on = true. Property tests: whatever the clocks show, nothing is bolder than without; whatever was learnt, nothing goes sooner.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -277,6 +277,8 @@
     pub rate: f64,
     /// The worst that its last calls came to.
     pub worst: Worst,
+    /// Failures in a row that are no outage yet.
+    pub failures: u32,
     /// When the outage was first seen that may not be over.
     pub ill_since: Option<Micros>,
     /// When it first answered after an outage.
--- a/crates/decision/src/policy/route.rs
+++ b/crates/decision/src/policy/route.rs
@@ -228,9 +228,7 @@
             route.breaker.state = State::Open;
             (route.breaker.reset, route.breaker.last_failed) = (reset.min(due), due - reset.min(due));
         }
-        if let Some(cold_since) = learnt.cold_since {
-            (route.woken_ill, route.bad_since) = (true, learnt.ill_since.unwrap_or(cold_since));
-        }
+        route.bad_run = route.bad_run.max(learnt.failures.min(1));
         if learnt.spent.0 > 0.0 {
             route.sent.push(learnt.spent.1.min(now), learnt.spent.0);
         }
--- a/crates/decision/src/routes.rs
+++ b/crates/decision/src/routes.rs
@@ -256,7 +256,17 @@
 fn learnt(route: &Route, rules: &Rules, now: Micros) -> Learnt {
     let facts = facts(route, rules, now);
     let due = route.breaker.due();
+    // One that goes on at once is no further than it was: a failure or two are no outage. One that sleeps is asked first.
+    let down = route.down(rules, now);
+    let worst = match facts.worst {
+        Worst::Failed if !down && route.fulls > 0 => Worst::Full,
+        Worst::Failed if !down => Worst::Well,
+        worst => worst,
+    };
     Learnt {
+        worst,
+        failures: if down { 0 } else { route.bad_run },
+        ill_since: facts.ill_since.filter(|_| down),
         short_at: route.short_at,
         trial: (due > 0).then_some((due, route.breaker.reset)),
         spent: route.sent.of_late(rules.overload_for, now),
--- a/crates/fleet/src/partner.rs
+++ b/crates/fleet/src/partner.rs
@@ -174,9 +174,9 @@
         self.at = at;
     }
 
-    /// A call arrives. Tells how it ends, and the report beside the answer: the share of the limit that is left and
+    /// A call arrives, at a time that is not before the last one's. Tells how it ends, and the report beside the answer: the share of the limit that is left and
     /// the limit.
-    pub(crate) fn call(&mut self, now: Micros) -> (Outcome, Vec<f32>) {
+    pub fn call(&mut self, now: Micros) -> (Outcome, Vec<f32>) {
         let at = now as f64 / SECOND;
         self.count(now, |count| count.calls += 1);
         if self.down.iter().any(|span| (span.0..span.1).contains(&at)) {
--- a/crates/known/src/belief.rs
+++ b/crates/known/src/belief.rs
@@ -267,6 +267,7 @@
     } else if learnt.worst == Worst::Full {
         reasons.push(Reason::Refused);
     }
+    learnt.failures = kept.failures;
     learnt.cold_since = kept.cold_since.map(|at| moved.past(at));
     reasons.extend(learnt.cold_since.map(|at| Reason::Cold(now - at)));
     if kept.limit > 0.0 {
--- a/crates/known/src/keep.rs
+++ b/crates/known/src/keep.rs
@@ -43,6 +43,7 @@
     at: Micros,
     wait_until: Micros,
     ill: u32,
+    failures: u32,
     refused: u32,
     cold: u64,
     short: u64,
@@ -67,6 +68,7 @@
             let weight = (place + 1) as f32;
             digest.wait_until = digest.wait_until.max(learnt.wait_until);
             digest.ill += u32::from(learnt.worst == Worst::Failed || learnt.trial.is_some()) << (place % 32);
+            digest.failures += learnt.failures.min(1) << (place % 32);
             digest.refused += u32::from(learnt.worst == Worst::Full) << (place % 32);
             digest.cold = digest.cold.wrapping_add(learnt.cold_since.unwrap_or(0));
             digest.short = digest.short.max(learnt.short_at.unwrap_or(0));
@@ -86,6 +88,7 @@
         if self.wait_until > written.wait_until || self.listed != written.listed {
             Urgency::Now
         } else if self.ill != written.ill
+            || self.failures != written.failures
             || self.refused != written.refused
             || self.cold != written.cold
             || (cold && self.spent != written.spent)
--- /dev/null
+++ b/crates/known/tests/belief.rs
@@ -0,0 +1,210 @@
+//! The one rule: what is kept may make a sender more careful, never bolder. Whatever the clocks show.
+
+use decision::interface::{Learnt, Worst};
+use known::belief::{Belief, DOUBT, FADE, LIST_GOOD_FOR, Law, Reason, Start, believe};
+use known::replay::{Snapshot, Trouble};
+use known::stamp::{Boot, Stamp};
+use known::{Kept, Listed, Micros, Status};
+use proptest::prelude::*;
+
+const SECOND: Micros = 1_000_000;
+const HOUR: Micros = 3_600 * SECOND;
+const START: Micros = 400_000 * HOUR;
+const LAW: Law = Law { span: HOUR, aim: 4 * SECOND };
+
+fn snapshot(learnt: Learnt) -> Snapshot {
+    let listed = |name: &str, status| Listed {
+        name: name.to_owned(),
+        address: "10.0.0.1:1".to_owned(),
+        zone: String::new(),
+        kind: String::new(),
+        status,
+        weight: 1.0,
+    };
+    let kept = Kept {
+        at: START,
+        listed: vec![listed("a", Status::Active), listed("b", Status::Leaving)],
+        routes: vec![(None, learnt)],
+    };
+    Snapshot {
+        stamp: Stamp { wall: START, boot: Some(Boot { id: 1, at: 100 * HOUR }) },
+        list: Some((41, START)),
+        destinations: [(7, kept)].into(),
+        waits: if learnt.wait_until > 0 { [((7, None), learnt.wait_until)].into() } else { [].into() },
+        found: true,
+        ..Snapshot::default()
+    }
+}
+
+/// A start so long after the snapshot by the machine's own clock, with a wall clock that is ahead of that by so much.
+fn start(after: Micros, ahead: i64) -> Start {
+    let wall = (START + after).saturating_add_signed(ahead);
+    let stamp = Stamp { wall, boot: Some(Boot { id: 1, at: 100 * HOUR + after }) };
+    Start { now: wall.max(START), stamp }
+}
+
+fn after(learnt: Learnt, span: Micros) -> (Learnt, Vec<Reason>) {
+    let belief = believe(&snapshot(learnt), &start(span, 0), 0, &LAW);
+    (belief.routes[0].learnt, belief.routes[0].reasons.clone())
+}
+
+#[test]
+fn a_limit_that_was_found_fades_and_is_forgotten() {
+    let found = Learnt { pace: 3.0, ..Learnt::default() };
+    assert!((after(found, FADE).0.pace - 6.0).abs() < 1e-6);
+    assert!((after(found, 3 * FADE).0.pace - 24.0).abs() < 1e-6);
+    let (faded, reasons) = after(found, 6 * FADE);
+    assert_eq!((faded.pace, reasons), (0.0, vec![Reason::FoundFaded]));
+}
+
+#[test]
+fn what_went_well_counts_for_less_and_an_outage_for_as_much_as_ever() {
+    let ill = Learnt {
+        rate: 8.0,
+        worst: Worst::Failed,
+        ill_since: Some(START - SECOND),
+        trial: Some((START + SECOND, 5 * SECOND)),
+        ..Learnt::default()
+    };
+    assert!((after(ill, DOUBT).0.rate - 4.0).abs() < 1e-6);
+    let (old, reasons) = after(ill, 1_000 * HOUR);
+    assert_eq!((old.worst, old.trial, &reasons[..]), (Worst::Failed, None, &[Reason::Ill(0)][..]));
+    let (soon, _) = after(ill, SECOND / 2);
+    assert_eq!(soon.trial, Some((START + SECOND, 2 * SECOND)), "no later than a breaker's first trial");
+}
+
+#[test]
+fn answers_count_where_they_are_slow_and_not_for_ever() {
+    let slow = Learnt { answers: Some((3e6, 1e5)), ..Learnt::default() };
+    assert_eq!(after(slow, SECOND).0.answers, slow.answers);
+    assert_eq!(after(slow, 2 * HOUR).0.answers, None);
+    let fast = Learnt { answers: Some((2e4, 1e3)), ..Learnt::default() };
+    assert_eq!(after(fast, SECOND).0.answers, None, "its calls are lost no sooner than an unknown partner's");
+}
+
+#[test]
+fn with_something_lost_each_begins_with_one_call_and_waits_count() {
+    let well =
+        Learnt { wait_until: START + 60 * SECOND, rate: 8.0, pace: 3.0, well_at: START, ..Learnt::default() };
+    let mut snapshot = snapshot(well);
+    snapshot.troubles.push(Trouble::Damaged { file: "known-000000000001".to_owned(), at: 99 });
+    let belief = believe(&snapshot, &start(SECOND, 0), 0, &LAW);
+    let learnt = belief.routes[0].learnt;
+    assert!(belief.lost);
+    assert_eq!((learnt.wait_until, learnt.worst), (START + 60 * SECOND, Worst::Failed));
+    assert_eq!((learnt.rate, learnt.well_at, learnt.pace), (0.0, 0, 3.0));
+    assert_eq!((&belief.list.newer, &belief.list.drains[..]), (&None, &["b".to_owned()][..]));
+    assert_eq!(belief.told.len(), 1, "{:?}", belief.told);
+}
+
+#[test]
+fn the_list_counts_where_it_is_newer_and_whole() {
+    let all = snapshot(Learnt::default());
+    let list =
+        |snapshot: &Snapshot, after: Micros, index| believe(snapshot, &start(after, 0), index, &LAW).list;
+    let newer = list(&all, SECOND, 40);
+    assert_eq!(newer.newer.map(|newer| (newer.0, newer.1[&7].len())), Some((41, 2)));
+    assert_eq!(newer.good_for, LIST_GOOD_FOR - SECOND);
+    let same = list(&all, SECOND, 41);
+    assert_eq!((same.newer, same.drains.len(), same.good_for), (None, 0, LIST_GOOD_FOR - SECOND));
+    assert_eq!(
+        list(&all, SECOND, 42),
+        Default::default(),
+        "the configuration's is newer: its drains are its own"
+    );
+    let old = list(&all, 2 * HOUR, 40);
+    assert_eq!((old.newer, old.drains), (None, vec!["b".to_owned()]));
+    let unsure = Snapshot { list: None, ..all };
+    assert_eq!(list(&unsure, SECOND, 40).drains, ["b"]);
+}
+
+fn any_learnt() -> impl Strategy<Value = Learnt> {
+    let past = || prop::option::of((0u64..2 * HOUR).prop_map(|ago| START - ago));
+    let figure = || prop_oneof![Just(0.0), 0.01f64..500.0];
+    let worst = prop_oneof![Just(Worst::Well), Just(Worst::Full), Just(Worst::Failed)];
+    let trial = prop::option::of((START - HOUR..START + HOUR, 0u64..10 * SECOND));
+    ((0u64..2 * HOUR, figure(), past(), figure(), figure()), (worst, past(), past(), past(), trial, figure()))
+        .prop_map(|(a, b)| Learnt {
+            wait_until: START + a.0,
+            limit: a.1,
+            short_at: a.2,
+            pace: a.3,
+            rate: a.4,
+            worst: b.0,
+            failures: u32::from(b.1.is_some()),
+            ill_since: b.1,
+            cold_since: b.2,
+            well_at: b.3.unwrap_or(0),
+            trial: b.4,
+            spent: (b.5, START - SECOND),
+            answers: None,
+        })
+}
+
+/// Holds what is believed so long after, in truth, against what was so.
+fn never_bolder(kept: &Learnt, belief: &Belief, now: Micros, truly: Micros) -> Result<(), TestCaseError> {
+    let learnt = &belief.routes[0].learnt;
+    // How long something goes on from now, or is over for, in truth.
+    let left = |until: Micros| (until - START).saturating_sub(truly);
+    let ago = |at: Micros| START - at + truly;
+    prop_assert!(learnt.wait_until.saturating_sub(now) >= left(kept.wait_until), "a wait is cut short");
+    let times = [(kept.cold_since, learnt.cold_since), (kept.short_at, learnt.short_at)];
+    for (kept, learnt) in times {
+        if let (Some(kept), Some(learnt)) = (kept, learnt) {
+            prop_assert!(learnt <= now && now - learnt <= ago(kept), "{kept} is further back than it is");
+        }
+        prop_assert_eq!(kept.is_some(), learnt.is_some());
+    }
+    prop_assert!(
+        learnt.well_at == 0 || now - learnt.well_at >= ago(kept.well_at),
+        "good news is fresher than it is"
+    );
+    prop_assert!(learnt.rate <= kept.rate + 1e-9);
+    prop_assert!(learnt.pace == 0.0 || learnt.pace >= kept.pace);
+    prop_assert!(learnt.spent.0 == kept.spent.0 || kept.spent.0 == 0.0);
+    prop_assert!(kept.worst != Worst::Failed || learnt.worst == Worst::Failed);
+    prop_assert!(learnt.trial.is_none_or(|trial| trial.0 > now && trial.0 <= now + LAW.aim / 2));
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(3_000))]
+
+    /// The machine's own clock is there: whatever the wall clock shows, waits end in time, and nothing is bolder.
+    #[test]
+    fn no_clock_makes_a_sender_bolder(
+        kept in any_learnt(),
+        truly in prop_oneof![0u64..10 * SECOND, 0u64..3 * HOUR],
+        ahead in prop_oneof![Just(0i64), -(2 * HOUR as i64)..(1_000 * HOUR as i64)],
+        restarted in any::<bool>(),
+    ) {
+        let mut start = start(truly, ahead);
+        if restarted {
+            // The machine was off for a part of the time, and counts from its start.
+            start.stamp.boot = Some(Boot { id: 2, at: truly / 3 });
+        }
+        // Across a restart of the machine a wall clock that was set forward can't be told: what is good news is its word.
+        prop_assume!(!restarted || ahead >= 0);
+        let belief = believe(&snapshot(kept), &start, 0, &LAW);
+        never_bolder(&kept, &belief, start.now, truly)?;
+    }
+
+    /// Without it the same holds unless the wall clock was set forward.
+    #[test]
+    fn without_the_machines_clock_one_that_is_set_back_does_no_harm(
+        kept in any_learnt(),
+        truly in 0u64..3 * HOUR,
+        back in 0i64..(3 * HOUR as i64),
+    ) {
+        let mut start = start(truly, -back);
+        start.stamp.boot = None;
+        let mut snapshot = snapshot(kept);
+        snapshot.stamp.boot = None;
+        let belief = believe(&snapshot, &start, 0, &LAW);
+        // What is good news is taken for as old as the clock says.
+        let learnt = Learnt { well_at: 0, ..kept };
+        let mut belief = belief;
+        belief.routes[0].learnt.well_at = 0;
+        never_bolder(&learnt, &belief, start.now, truly)?;
+    }
+}
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -33,12 +33,13 @@
     pub known: KnownTable,
 }
 
-/// `[known]`: what a sender has learnt of partners is kept for its next process.
+/// `[known]`: what a sender has learnt of partners is kept for its next process. Without `on` nothing is kept, nothing that was
+/// kept is believed, and nothing else may stand here.
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct KnownTable {
-    /// `off`: nothing is kept, and nothing that was kept is believed. Nothing else may stand here then.
-    pub off: bool,
+    /// `on`: it is kept, and believed at a start.
+    pub on: bool,
     /// `size`: room on the disk, within `disk_mb` and behind the journal's; an eighth of `disk_mb` without it.
     pub size: Option<Size>,
     /// `span`: for how long limits that were told and answer times are believed.
@@ -273,14 +274,18 @@
             _ => None,
         });
         let beside = beside.or(match &read.known {
-            KnownTable { off: true, size, span, .. } if size.is_some() || span.is_some() => {
-                Some(("off", "with off nothing is kept, and size and span say nothing"))
+            KnownTable { on: false, size, span, clock } => {
+                [size.map(|_| "size"), span.map(|_| "span"), (*clock == KnownClock::Boot).then_some("clock")]
+                    .into_iter()
+                    .flatten()
+                    .next()
+                    .map(|name| (name, "without on = true nothing is kept, and this says nothing"))
             }
             KnownTable { size: Some(size), .. } if *size < SMALLEST_KNOWN => {
                 Some(("size", "less than 16KiB has no room for what is known of some dozen partners"))
             }
             KnownTable { span: Some(Span { micros: 0 }), .. } => {
-                Some(("span", "what is believed for no time is not believed: say off"))
+                Some(("span", "what is believed for no time is not believed: leave on out"))
             }
             _ => None,
         });
@@ -329,9 +334,9 @@
             ("[dormant]\nafter = \"10m\"\nawake = 0\n", "3: ", "none awake"),
             ("[dormant]\nafter = \"10m\"\nwakes = 0\n", "3: ", "none woken"),
             ("[dormant]\nremember = \"5m\"\nafter = \"10m\"\n", "2: ", "before it sleeps"),
-            ("[known]\noff = true\nspan = \"1h\"\n", "2: ", "say nothing"),
-            ("[known]\nsize = \"1KiB\"\n", "2: ", "16KiB"),
-            ("[known]\nspan = \"0s\"\n", "2: ", "say off"),
+            ("[known]\nspan = \"1h\"\n", "2: ", "without on"),
+            ("[known]\non = true\nsize = \"1KiB\"\n", "3: ", "16KiB"),
+            ("[known]\non = true\nspan = \"0s\"\n", "3: ", "leave on out"),
             ("[known]\nclock = \"sun\"\n", "2: ", "expected `wall` or `boot`"),
             ("[journal]\nsync = \n", "2: ", ""),
             ("[journal]\nsync = \"none\"\nsync = \"none\"\n", "3: ", "duplicate key"),
--- /dev/null
+++ b/crates/rig/src/known_cost.rs
@@ -0,0 +1,135 @@
+//! What it costs to keep what is known: the CPU for each message with and without, side by side, and how long a slice takes
+//! after a turn.
+
+use std::cell::RefCell;
+use std::time::{Duration, Instant};
+
+use decision::interface::Learnt;
+use journal::disk::Folder;
+use known::stamp::Stamp;
+use known::store::{Options as Keep, Source, Store};
+use known::{Kept, Listed, Micros, Status};
+use standins::Platform;
+
+use crate::scenario::{Options, Scenario, program};
+use crate::stream::Times;
+use crate::throughput::{load, node, partners};
+
+/// The scenario.
+pub const SCENARIO: Scenario = Scenario {
+    name: "known-cost",
+    about: "CPU for each message with and without keeping what is known, and how long its slices take",
+    run,
+};
+
+/// What keeping may add to the CPU for each message.
+const MORE: f64 = 0.03;
+/// What a slice may take, nearly always.
+const SLICE: Duration = Duration::from_millis(2);
+const CLIENTS: u64 = 32;
+const START: Micros = 1_700_000_000_000_000;
+
+/// Many destinations, whose figures change all the time.
+struct World {
+    count: u16,
+    now: RefCell<Micros>,
+}
+
+impl Source for World {
+    fn destinations(&self) -> Vec<u16> {
+        (0..self.count).collect()
+    }
+
+    fn kept(&self, destination: u16) -> Option<Kept> {
+        let now = *self.now.borrow();
+        let learnt = Learnt {
+            limit: 5.0 + f64::from(destination),
+            rate: (now % 1_000) as f64,
+            cold_since: destination.is_multiple_of(10).then_some(START + now % 7),
+            well_at: now,
+            ..Learnt::default()
+        };
+        let listed = Listed {
+            name: format!("s-{destination:08x}"),
+            address: format!("10.1.0.18:{destination}"),
+            zone: "cph-1".into(),
+            kind: "bulk".into(),
+            status: Status::Active,
+            weight: 1.0,
+        };
+        Some(Kept { at: now, listed: vec![listed], routes: vec![(None, learnt)] })
+    }
+
+    fn list(&self) -> (u64, Micros) {
+        (41, *self.now.borrow())
+    }
+}
+
+/// Times of slices while a whole of so many destinations is written and ten of them change in each turn of 5 ms; and bytes.
+fn slices(count: u16, turns: u64) -> Result<(Times, u64), String> {
+    let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
+    let disk = Box::new(Folder::beside(folder.path()));
+    let options = Keep { size: 64 << 20, sync: false };
+    let (mut store, _) = Store::open(disk, "n1", options).map_err(|e| e.to_string())?;
+    let world = World { count, now: RefCell::new(START) };
+    let mut times = Vec::new();
+    for turn in 0..turns {
+        let now = START + turn * 5_000;
+        *world.now.borrow_mut() = now;
+        for n in 0..10 {
+            store.touched(((turn * 37 + n * 11) % u64::from(count)) as u16, now);
+        }
+        let began = Instant::now();
+        store.slice(&Stamp { wall: now, boot: None }, u64::MAX, &world).map_err(|e| e.to_string())?;
+        times.push(began.elapsed());
+    }
+    Ok((Times::new(times), store.written()))
+}
+
+fn run(options: &Options) -> Result<String, String> {
+    let turns = if options.short { 500 } else { 20_000 };
+    for count in [30, 1_000, 20_000] {
+        let (times, written) = slices(count, turns)?;
+        println!(
+            "{count:>6} destinations, {turns} turns: a slice takes {:?} at half, {:?} at 99.9%, {:?} at most; {written} bytes",
+            times.at(0.5),
+            times.at(0.999),
+            times.at(1.0)
+        );
+        if times.at(0.99) > SLICE && !options.short {
+            return Err(format!("with {count} destinations a slice takes {:?} at 99%", times.at(0.99)));
+        }
+    }
+    let time = Duration::from_millis(if options.short { 300 } else { 2_000 });
+    let pairs = if options.short { 1 } else { 21 };
+    let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
+    let on = folder.path().join("on.toml");
+    std::fs::write(&on, "[known]\non = true\n").map_err(|e| e.to_string())?;
+    let mut ratios = Vec::new();
+    for pair in 0..pairs {
+        let mut each = [0.0; 2];
+        // Each goes first in turn.
+        for known in [pair % 2 == 0, pair % 2 == 1] {
+            let (partners, platform) = (partners(), Platform::new());
+            let program = if known { program().arg("--operators").arg(&on) } else { program() };
+            let node = node(&program, &platform, &partners);
+            let figures = load(node.address, node.pid(), &partners, CLIENTS, time);
+            if figures.taken == 0 || figures.delivered == 0 {
+                return Err("nothing passes".into());
+            }
+            each[usize::from(known)] = figures.each();
+        }
+        ratios.push(each[1] / each[0]);
+    }
+    ratios.sort_by(f64::total_cmp);
+    let median = ratios[ratios.len() / 2];
+    println!("CPU for each message, with over without: {:.3} to {:.3}", ratios[0], ratios[ratios.len() - 1]);
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    let figures = format!(
+        "{median:.3} times the CPU for each message, median of {pairs} pairs, {CLIENTS} clients, {cores} cores"
+    );
+    if median > 1.0 + MORE && !options.short {
+        return Err(figures);
+    }
+    Ok(figures)
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,8 +3,11 @@
 
 mod compaction_kills;
 mod demo;
+mod herd;
 mod idle;
 mod journal_bench;
+mod known_cost;
+mod limited;
 mod proxy;
 mod scenario;
 mod stores;
@@ -20,8 +23,10 @@
 
 const SCENARIOS: &[Scenario] = &[
     demo::SCENARIO,
+    herd::SCENARIO,
     idle::SCENARIO,
     journal_bench::SCENARIO,
+    known_cost::SCENARIO,
     compaction_kills::SCENARIO,
     throughput::SCENARIO,
     upgrade_kills::SCENARIO,
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -24,6 +24,12 @@
     /// How many destinations there are.
     #[arg(long)]
     pub destinations: Option<u16>,
+    /// How often a run kills its senders, where it can.
+    #[arg(long)]
+    pub restarts: Option<usize>,
+    /// How many senders there are.
+    #[arg(long)]
+    pub senders: Option<usize>,
     #[arg(skip)]
     drawn: OnceLock<u64>,
 }
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -86,6 +86,8 @@
     list_is_good: bool,
     /// What was learnt, for the next process.
     memory: Option<Memory>,
+    /// Destinations that a turn may have taught something of.
+    touched: Vec<u16>,
     /// Who asks to take over, and what is left of the process before this one.
     successor: Option<Link>,
     before: Option<Rc<Before>>,
@@ -194,6 +196,7 @@
         list_seen: 0,
         list_is_good: false,
         memory,
+        touched: Vec::new(),
         successor: None,
         before,
         door,
--- a/crates/sender/src/driver/learnt.rs
+++ b/crates/sender/src/driver/learnt.rs
@@ -28,7 +28,9 @@
 
     /// Notes what a turn may have taught, before the module decides.
     pub(super) fn note_learning(&mut self, said: &[Event]) {
-        let Some(memory) = &mut self.memory else { return };
+        if self.memory.is_none() {
+            return;
+        }
         let now = self.clock.now();
         for event in said {
             let (endpoint, pressing) = match event {
@@ -44,10 +46,13 @@
                 _ => continue,
             };
             let Some(destination) = self.directory.destination(*endpoint) else { continue };
-            if pressing { memory.pressing(destination, false, now) } else { memory.touched(destination, now) }
+            match (pressing, &mut self.memory) {
+                (true, Some(memory)) => memory.pressing(destination, false, now),
+                _ => self.touched.push(destination),
+            }
         }
         for destination in self.directory.take_changed() {
-            memory.pressing(destination, true, now);
+            self.memory.iter_mut().for_each(|memory| memory.pressing(destination, true, now));
         }
         if self.list_is_good {
             self.list_seen = now;
@@ -56,19 +61,22 @@
 
     /// A call goes to an endpoint: what goes to a cold partner is known to the next process.
     pub(super) fn note_call(&mut self, endpoint: EndpointId) {
-        if let (Some(memory), Some(destination)) = (&mut self.memory, self.directory.destination(endpoint)) {
-            memory.touched(destination, self.clock.now());
+        if self.memory.is_some() {
+            self.touched.extend(self.directory.destination(endpoint));
         }
     }
 
     /// Writes what is due of what is known, once answers and calls are out and the journal had its turn.
     pub(super) fn keep_known(&mut self) {
         let Some(memory) = &mut self.memory else { return };
+        let now = self.clock.now();
+        self.touched.sort_unstable();
+        self.touched.dedup();
+        self.touched.drain(..).for_each(|destination| memory.touched(destination, now));
         // A list that is half taken in has no version.
         if self.directory.is_behind() {
             return;
         }
-        let now = self.clock.now();
         let list = (self.index, self.list_seen);
         let view = View { policy: &self.policy, directory: &self.directory, list, now };
         memory.slice(self.journal.room_beside(), &view);
--- a/crates/sender/src/known.rs
+++ b/crates/sender/src/known.rs
@@ -35,7 +35,7 @@
 impl Keeping {
     /// What the table says, with what it leaves out.
     pub fn of(table: &KnownTable, disk: u64, sync: bool, aim: Micros) -> Option<Self> {
-        if table.off {
+        if !table.on {
             return None;
         }
         let size = table.size.map_or(disk / PART_OF_DISK, |size| size.bytes.min(disk));
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -37,6 +37,8 @@
     pub heard: Heard,
     /// How long that took.
     pub after: Duration,
+    /// When it was handed in, since the load began.
+    pub at: Duration,
 }
 
 /// What is handed in.
@@ -69,9 +71,14 @@
 impl Load {
     /// Begins.
     pub fn start(plan: &Plan, place: &Place) -> Self {
+        Self::start_every(plan, place, Duration::from_secs(1) * plan.clients / plan.rate.max(1))
+    }
+
+    /// The same with the time between two messages of a client, whatever the plan says of the rate.
+    pub fn start_every(plan: &Plan, place: &Place, period: Duration) -> Self {
+        let start = Instant::now();
         let stop = Arc::new(AtomicBool::new(false));
         let said = Arc::new(Mutex::new(HashMap::new()));
-        let period = Duration::from_secs(1) * plan.clients / plan.rate.max(1);
         let client = |number: u32| {
             let (plan, place, stop, said) = (plan.clone(), place.clone(), stop.clone(), said.clone());
             thread::spawn(move || {
@@ -107,7 +114,8 @@
                     if heard == Heard::Nothing {
                         connection = None;
                     }
-                    said.lock().unwrap().insert(id, HandedIn { class, heard, after: begun.elapsed() });
+                    let (after, at) = (begun.elapsed(), begun.duration_since(start));
+                    said.lock().unwrap().insert(id, HandedIn { class, heard, after, at });
                 }
             })
         };
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -17,10 +18,39 @@
     /// The paths of requests for the list, as they come.
     pub watched: Receiver<String>,
     list: Arc<(Mutex<Value>, Condvar)>,
+    load: Arc<Mutex<Load>>,
     /// Requests with notices, as they come.
     pub notices: Receiver<Asked>,
 }
 
+/// What calls for the list cost a discovery that has few places for them.
+#[derive(Debug, Default)]
+struct Load {
+    /// Each takes so long, one after the other; turned away once they would wait longer than that.
+    costs: Option<(Duration, Duration)>,
+    busy_until: Option<Instant>,
+    turned_away: u64,
+    answered: u64,
+}
+
+impl Load {
+    /// How long a call waits for its turn, if it is let in; one that is turned away costs half.
+    fn begins(&mut self) -> Result<Duration, ()> {
+        let Some((each, longest)) = self.costs else { return Ok(Duration::ZERO) };
+        let now = Instant::now();
+        let free = self.busy_until.map_or(now, |until| until.max(now));
+        let waits = free.duration_since(now);
+        if waits > longest {
+            self.busy_until = Some(free + each / 2);
+            self.turned_away += 1;
+            return Err(());
+        }
+        self.busy_until = Some(free + each);
+        self.answered += 1;
+        Ok(waits + each)
+    }
+}
+
 impl Default for Platform {
     fn default() -> Self {
         Self::new()
@@ -35,6 +65,8 @@
         let (notice, notices) = channel();
         let (watch, watched) = channel();
         let told = list.clone();
+        let load = Arc::new(Mutex::new(Load::default()));
+        let costs = load.clone();
         let address = served.address;
         thread::spawn(move || {
             while let Ok(asked) = served.asked.recv() {
@@ -47,7 +79,12 @@
                 let from = path.split("from=").nth(1).and_then(|f| f.split('&').next());
                 let from: u64 = from.map_or(0, |from| from.parse().unwrap());
                 let told = told.clone();
+                let Ok(waits) = costs.lock().unwrap().begins() else {
+                    asked.reply(status(503));
+                    continue;
+                };
                 thread::spawn(move || {
+                    thread::sleep(waits);
                     let (list, changed) = &*told;
                     let mut list = list.lock().unwrap();
                     while list["index"].as_u64().unwrap() <= from {
@@ -57,7 +94,18 @@
                 });
             }
         });
-        Self { address, watched, list, notices }
+        Self { address, watched, list, load, notices }
+    }
+
+    /// From now on a call for the list takes so long, one after the other, and is turned away where it would wait longer.
+    pub fn overbook(&self, each: Duration, longest: Duration) {
+        self.load.lock().unwrap().costs = Some((each, longest));
+    }
+
+    /// Calls for the list that were let in, and turned away, since it is overbooked.
+    pub fn list_calls(&self) -> (u64, u64) {
+        let load = self.load.lock().unwrap();
+        (load.answered, load.turned_away)
     }
 
     /// The whole list is this from now on; tells its version.
