--- a/crates/decision/src/book.rs
+++ b/crates/decision/src/book.rs
@@ -99,6 +99,29 @@
         Some(held)
     }
 
+    /// Takes out all messages for a destination.
+    pub fn part(&mut self, destination: DestinationId) -> Vec<Held> {
+        let ids: BTreeSet<MessageId> = self
+            .held
+            .values()
+            .filter(|held| held.message.destination == destination)
+            .map(|held| held.message.id)
+            .collect();
+        ids.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// Goes on with a message that another module held, out or not.
+    pub fn join(&mut self, mut held: Held) {
+        let id = held.message.id;
+        held.lapses = None;
+        self.ends.insert((held.end, id));
+        if held.out == 0 {
+            self.waiting.insert(&held.ticket());
+        }
+        self.held.insert(id, held);
+        self.note_attempts(id);
+    }
+
     /// What an earlier process knew of a message.
     pub fn resumed(&mut self, id: MessageId, attempts: u32, may_have_run: Vec<(u16, Micros, EndpointId)>) {
         if let Some(held) = self.held.get_mut(&id) {
--- a/crates/decision/src/calls.rs
+++ b/crates/decision/src/calls.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::interface::{EndpointId, MessageId, Micros, Outcome, RouteId};
+use crate::interface::{DestinationId, EndpointId, MessageId, Micros, Outcome, RouteId};
 
 /// A call holds a slot until all its messages have their outcomes.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
@@ -31,6 +31,16 @@
     pub done: bool,
 }
 
+/// A call that is out, and the attempts in it: message, number, ordered key.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Moved {
+    pub number: u64,
+    pub call: Call,
+    pub attempts: Vec<(MessageId, u16, Option<u64>)>,
+    /// It is the first call to a destination that woke.
+    pub waking: bool,
+}
+
 /// All that are out.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Calls {
@@ -50,6 +60,39 @@
         self.next
     }
 
+    /// The next call gets this number, if it would get a smaller one.
+    pub fn count_from(&mut self, first: u64) {
+        self.next = self.next.max(first);
+    }
+
+    /// Takes the calls to a destination out.
+    pub fn part(&mut self, destination: DestinationId) -> Vec<Moved> {
+        let calls: Vec<u64> =
+            self.calls.iter().filter(|(_, call)| call.route.0 == destination).map(|(n, _)| *n).collect();
+        let mut moved: BTreeMap<u64, Moved> = BTreeMap::new();
+        for number in calls {
+            if let Some(call) = self.calls.remove(&number) {
+                moved.insert(number, Moved { number, call, attempts: Vec::new(), waking: false });
+            }
+        }
+        self.attempts.retain(|(message, attempt), (call, key)| match moved.get_mut(call) {
+            Some(moved) => {
+                moved.attempts.push((*message, *attempt, *key));
+                false
+            }
+            None => true,
+        });
+        moved.into_values().collect()
+    }
+
+    /// Goes on with a call that another module began.
+    pub fn join(&mut self, moved: Moved) {
+        let Moved { number, call, attempts, .. } = moved;
+        self.calls.insert(number, call);
+        self.attempts
+            .extend(attempts.into_iter().map(|(message, attempt, key)| ((message, attempt), (number, key))));
+    }
+
     /// A call begins.
     pub fn begin(&mut self, route: RouteId, endpoint: EndpointId, now: Micros) {
         self.calls.insert(self.next, Call { route, endpoint, sent: now, messages: 0, judged: false });
--- a/crates/decision/src/endpoints.rs
+++ b/crates/decision/src/endpoints.rs
@@ -8,7 +8,7 @@
 use crate::interface::{DestinationId, EndpointId, Entry, Kind, Listing, Micros, Outcome, RouteId};
 
 /// An endpoint.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Endpoint {
     pub destination: DestinationId,
     pub zone: u16,
@@ -148,6 +148,56 @@
         listed.unwrap_or_default()
     }
 
+    /// What is known of a destination's endpoints, for another module; here they are as if no call had ever gone there.
+    pub fn part(&mut self, destination: DestinationId) -> Vec<(EndpointId, Endpoint)> {
+        let ids: Vec<_> = self.of(destination).map(|(id, _)| id).collect();
+        let known = ids.into_iter().filter_map(|id| {
+            let known = self.all.get_mut(&id)?;
+            let unused = Endpoint {
+                out: 0,
+                bad_run: 0,
+                places: Places::default(),
+                crowded: 0,
+                rest_until: 0,
+                lost: false,
+                sent_at: 0,
+                gap: Micros::MAX,
+                ..known.clone()
+            };
+            Some((id, std::mem::replace(known, unused)))
+        });
+        known.collect()
+    }
+
+    /// What another module knew of a destination's endpoints. What lists said here of them holds; one that none has named is
+    /// kept for the calls that are out there, as one that is gone.
+    pub fn join(&mut self, destination: DestinationId, endpoints: Vec<(EndpointId, Endpoint)>) {
+        for (id, theirs) in endpoints {
+            if let Some(ours) = self.all.get_mut(&id) {
+                // Guards a drain against what is older: the list as this module was told it is what binds it.
+                *ours = Endpoint {
+                    destination: ours.destination,
+                    zone: ours.zone,
+                    kind: ours.kind,
+                    ready: ours.ready,
+                    gone: ours.gone,
+                    named: ours.named,
+                    listed: (ours.listed.0, ours.listed.1.min(theirs.listed.1)),
+                    ..theirs
+                };
+                continue;
+            }
+            let listed = theirs.listed;
+            self.cells
+                .entry(destination)
+                .or_insert_with(|| Cell { ids: BTreeSet::new(), listed })
+                .ids
+                .insert(id);
+            self.gone.insert(id);
+            self.all.insert(id, Endpoint { destination, ready: false, gone: true, named: 0, ..theirs });
+        }
+    }
+
     /// Forgets endpoints that are gone and that nothing refers to: under churn there are ever new ones. Tells which.
     pub fn prune(
         &mut self,
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -407,6 +407,14 @@
         /// The load report, if one came.
         report: Vec<f32>,
     },
+    /// What this module may use of the sender's slots and of its room for messages, where several modules share both. Without
+    /// it, all that the settings say.
+    Room {
+        /// Calls that may be out at once.
+        slots: usize,
+        /// Messages that may be held.
+        held: usize,
+    },
     /// An earlier process of this sender learnt that of a route. To be told after the list, ahead of all messages; of a
     /// destination that is awake it changes nothing but its wait.
     Learnt {
--- a/crates/decision/src/lines.rs
+++ b/crates/decision/src/lines.rs
@@ -23,6 +23,11 @@
 }
 
 impl Lines {
+    /// Whether no key has anything waiting, out or resting.
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+
     /// A message lines up.
     pub fn push(&mut self, key: u64, id: MessageId) {
         self.lines.entry(key).or_default().waiting.push_back(id);
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -19,6 +19,7 @@
 mod dispatch;
 mod due;
 mod fold;
+pub mod moving;
 #[cfg(test)]
 mod oracle;
 pub(crate) mod route;
--- a/crates/decision/src/policy/fold.rs
+++ b/crates/decision/src/policy/fold.rs
@@ -55,6 +55,9 @@
                     self.kept_lost += (f64::from(u8::from(*lost)) - self.kept_lost) / KEPT_SEEN;
                 }
                 Event::Learnt { route, learnt } => self.routes.learnt(*route, *learnt, &self.endpoints, now),
+                Event::Room { slots, held } => {
+                    (self.settings.slots, self.settings.max_open) = (*slots, *held);
+                }
                 Event::LearntLost => self.routes.learnt_lost(),
                 Event::Probed { endpoint, report, .. } => self.note_report(*endpoint, report),
                 Event::Streaming { .. } | Event::ListFailed | Event::Note { .. } | Event::Reminder(_) => {}
--- a/crates/decision/src/routes.rs
+++ b/crates/decision/src/routes.rs
@@ -14,6 +14,9 @@
 /// So many destinations may fall asleep in a tick.
 const SLEEP_AT_ONCE: usize = 64;
 
+/// What is remembered of a route that sleeps.
+pub(crate) type Asleep = (RouteId, Learnt);
+
 /// All routes.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Routes {
@@ -106,6 +109,55 @@
         known.into_iter().collect()
     }
 
+    /// Takes a destination's routes out: those that are awake, and what is remembered of others.
+    pub fn part(
+        &mut self,
+        destination: DestinationId,
+        endpoints: &Endpoints,
+        now: Micros,
+    ) -> (Vec<(RouteId, Route)>, Vec<Asleep>) {
+        let known = self.known(destination, endpoints, now);
+        let (mut awake, mut asleep) = (Vec::new(), Vec::new());
+        for (id, learnt) in known {
+            match self.routes.remove(&id) {
+                Some(route) => awake.push((id, route)),
+                None => asleep.push((id, learnt)),
+            }
+            self.learnt.remove(&id);
+            self.memory.forget(id);
+        }
+        self.awake.forget(destination);
+        (awake, asleep)
+    }
+
+    /// Goes on with a destination's routes as another module knew them.
+    pub fn join(
+        &mut self,
+        destination: DestinationId,
+        awake: Vec<(RouteId, Route)>,
+        asleep: Vec<Asleep>,
+        endpoints: &Endpoints,
+        now: Micros,
+    ) {
+        for (id, learnt) in asleep {
+            self.learnt(id, learnt, endpoints, now);
+        }
+        if awake.is_empty() {
+            return;
+        }
+        for (id, mut route) in awake {
+            let ours = self.routes.get(&id).map_or(0, |ours| ours.wait_until);
+            route.wait_until = route.wait_until.max(ours);
+            let listed = endpoints.listing(id).0;
+            // A list that this module heard alone.
+            if listed > 0.0 && listed != route.listed {
+                (route.listed, route.told) = (listed, listed);
+            }
+            self.routes.insert(id, route);
+        }
+        self.wake(destination, endpoints, now);
+    }
+
     /// Destinations of which anything is known.
     pub fn known_destinations(&self) -> BTreeSet<DestinationId> {
         let awake = self.routes.keys().map(|id| id.0);
--- a/crates/decision/src/waiting.rs
+++ b/crates/decision/src/waiting.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// How many wait.
+    pub fn len(&self) -> usize {
+        self.cells.values().map(|cell| cell.ends.len()).sum()
+    }
+
     /// How many wait for a destination.
     pub fn count(&self, destination: DestinationId) -> usize {
         self.cells.get(&destination).map_or(0, |cell| cell.ends.len())
--- a/crates/dormant/src/awake.rs
+++ b/crates/dormant/src/awake.rs
@@ -44,6 +44,13 @@
         }
     }
 
+    /// It is another's from now on, awake or not.
+    pub fn forget(&mut self, key: K) {
+        if self.awake.remove(&key) {
+            self.due.retain(|due| due.1 != key);
+        }
+    }
+
     /// When one is to be looked at.
     pub fn next_due(&self) -> Option<Micros> {
         self.due.first().map(|due| due.0)
--- a/crates/dormant/src/waking.rs
+++ b/crates/dormant/src/waking.rs
@@ -67,9 +67,9 @@
         }
     }
 
-    /// A call is over, whoever's.
-    pub fn ended(&mut self, call: u64) {
-        self.out.remove(&call);
+    /// A call is over, whoever's, or no longer this one's. Tells whether it was a first one.
+    pub fn ended(&mut self, call: u64) -> bool {
+        self.out.remove(&call)
     }
 
     /// Those whose turn has come; each may make its first call, and is to be tried before this is called again: a turn
--- a/crates/journal/src/disk.rs
+++ b/crates/journal/src/disk.rs
@@ -9,7 +9,7 @@
 /// What was appended outlasts the process as soon as the call returned, in the order of the calls. It outlasts the
 /// machine once [`Disk::sync`] returned, and a name once [`Disk::sync_names`] did; before that, any part of it may be
 /// there without the parts before it.
-pub trait Disk {
+pub trait Disk: Send {
     /// The files' names and lengths, in no order.
     ///
     /// # Errors
--- a/crates/journal/src/sim.rs
+++ b/crates/journal/src/sim.rs
@@ -4,10 +4,9 @@
 //! it died in any first part. When the *machine* dies, of what was not synced any sectors stay without the others, and
 //! any changes of names.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io;
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::disk::Disk;
 
@@ -98,13 +97,17 @@
 
 /// A disk in memory. Copies of it are the same disk.
 #[derive(Debug, Clone, Default)]
-pub struct SimDisk(Rc<RefCell<Inner>>);
+pub struct SimDisk(Arc<Mutex<Inner>>);
 
 fn killed() -> io::Error {
     io::Error::other("the process was killed")
 }
 
 impl SimDisk {
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// An empty disk without faults.
     pub fn new() -> Self {
         Self::default()
@@ -112,37 +115,37 @@
 
     /// Operations so far that change something, failed ones included.
     pub fn operations(&self) -> u64 {
-        self.0.borrow().operations
+        self.inner().operations
     }
 
     /// The operation of that number, from 0, will fail so.
     pub fn fail(&self, operation: u64, fault: Fault) {
-        self.0.borrow_mut().faults.insert(operation, fault);
+        self.inner().faults.insert(operation, fault);
     }
 
     /// No operation fails any more.
     pub fn mend(&self) {
-        self.0.borrow_mut().faults.clear();
+        self.inner().faults.clear();
     }
 
     /// So many bytes have room on it from now on, in all files together; without a number any.
     pub fn set_room(&self, room: Option<usize>) {
-        self.0.borrow_mut().room = room;
+        self.inner().room = room;
     }
 
     /// Whether a process was killed on it that was not followed by another yet.
     pub fn is_killed(&self) -> bool {
-        self.0.borrow().killed
+        self.inner().killed
     }
 
     /// The next process begins.
     pub fn restart(&self) {
-        self.0.borrow_mut().killed = false;
+        self.inner().killed = false;
     }
 
     /// The machine loses power, and the next process begins on what is left.
     pub fn lose_power(&self, rng: &mut fastrand::Rng) {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         for file in &mut inner.files {
             let mut left = file.synced.clone();
             for change in std::mem::take(&mut file.unsynced) {
@@ -176,13 +179,13 @@
 
     /// A file's bytes, if it is there.
     pub fn bytes(&self, name: &str) -> Option<Vec<u8>> {
-        let inner = self.0.borrow();
+        let inner = self.inner();
         inner.names.get(name).map(|file| inner.files[*file].bytes.clone())
     }
 
     /// Changes a file's bytes behind the back of everybody.
     pub fn spoil(&self, name: &str, change: impl FnOnce(&mut Vec<u8>)) {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         if let Some(file) = inner.names.get(name).copied() {
             change(&mut inner.files[file].bytes);
             inner.files[file].synced = inner.files[file].bytes.clone();
@@ -191,7 +194,7 @@
 
     /// Puts a file there, synced.
     pub fn put(&self, name: &str, bytes: &[u8]) {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         let file = inner.files.len();
         inner.files.push(SimFile { bytes: bytes.to_vec(), synced: bytes.to_vec(), unsynced: vec![] });
         inner.names.insert(name.to_owned(), file);
@@ -200,7 +203,7 @@
 
     /// Bytes that the files take up, each counted in whole sectors.
     pub fn used(&self) -> u64 {
-        let inner = self.0.borrow();
+        let inner = self.inner();
         inner.names.values().map(|file| inner.files[*file].bytes.len().next_multiple_of(SECTOR) as u64).sum()
     }
 }
@@ -243,7 +246,7 @@
 
 impl Disk for SimDisk {
     fn names(&mut self) -> io::Result<Vec<(String, u64)>> {
-        let inner = self.0.borrow();
+        let inner = self.inner();
         if inner.killed {
             return Err(killed());
         }
@@ -255,7 +258,7 @@
     }
 
     fn read(&mut self, name: &str, most: u64, into: &mut Vec<u8>) -> io::Result<()> {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         if inner.killed {
             return Err(killed());
         }
@@ -266,7 +269,7 @@
     }
 
     fn create(&mut self, name: &str) -> io::Result<()> {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         if inner.names.contains_key(name) {
             return Err(io::ErrorKind::AlreadyExists.into());
         }
@@ -280,7 +283,7 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         inner.file(name)?;
         let fault = inner.begin()?;
         let used: usize = inner.names.values().map(|file| inner.files[*file].bytes.len()).sum();
@@ -303,7 +306,7 @@
     }
 
     fn cut(&mut self, name: &str, length: u64) -> io::Result<()> {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         inner.file(name)?;
         let (done, said) = inner.whole();
         if done {
@@ -316,7 +319,7 @@
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         inner.file(from)?;
         let (done, said) = inner.whole();
         if done {
@@ -326,7 +329,7 @@
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         inner.file(name)?;
         let (done, said) = inner.whole();
         if done {
@@ -336,7 +339,7 @@
     }
 
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         inner.file(name)?;
         let (done, said) = inner.whole();
         if done {
@@ -348,7 +351,7 @@
     }
 
     fn sync_names(&mut self) -> io::Result<()> {
-        let inner = &mut *self.0.borrow_mut();
+        let inner = &mut *self.inner();
         let (done, said) = inner.whole();
         if done {
             inner.synced_names = inner.names.clone();
--- a/crates/journal/src/store.rs
+++ b/crates/journal/src/store.rs
@@ -85,6 +85,29 @@
     pub compacted: u64,
 }
 
+/// The room that a journal has for further messages, as it was at some moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    limit: u64,
+    /// What live messages may come to need, and the ledger's share.
+    needs: u64,
+    /// What the files take, what live messages may still write, and what compaction works with.
+    used: u64,
+    /// What the ledger has left.
+    ledger: u64,
+}
+
+impl Room {
+    /// Whether a message of that size has room, with an entry of the ledger of that size, beside what is promised to others.
+    pub fn admits(&self, size: u64, owed: u64, pending: u64) -> bool {
+        let needs = self.needs + pending + size;
+        let apart = self.used + pending + size;
+        // Guards against a ledger that forgets early: each live message of its classes has its entry's room. At the limit
+        // it does harm to new orders, which are refused until older entries have had their time.
+        needs <= self.limit / 2 && apart <= self.limit && (owed == 0 || owed <= self.ledger)
+    }
+}
+
 /// The journal of one sender, and the state that it holds.
 pub struct Journal {
     pub(crate) disk: Box<dyn Disk>,
@@ -124,7 +147,8 @@
 
 impl Journal {
     pub(crate) fn new(disk: Box<dyn Disk>, options: Options, mut state: State) -> Self {
-        state.retain(options.retain.as_ref().map(|retain| retain.classes.clone()).unwrap_or_default());
+        let retained = options.retain.as_ref().map(|retain| retain.classes.clone());
+        state.retain(retained.unwrap_or_default());
         Self {
             disk,
             options,
@@ -188,20 +212,25 @@
     /// yet. Live messages and the ledger get half of the room, so that compaction always has some to work with; and
     /// what all of them may come to need is there without any compaction.
     pub fn has_room(&self, taken: &Taken, pending: u64) -> bool {
-        let needs = self.state.needs() + self.ledger_share() + pending + self.room_for(taken);
-        let apart = self.used + self.later() + pending + self.room_for(taken) + self.slack();
-        needs <= self.options.limit / 2 && apart <= self.options.limit && self.ledger_has_room(taken)
+        self.room().admits(self.room_for(taken), self.state.owed(taken), pending)
     }
 
-    fn ledger_share(&self) -> u64 {
-        self.options.retain.as_ref().map_or(0, |retain| retain.bytes)
+    /// What room there is for further messages.
+    pub fn room(&self) -> Room {
+        Room {
+            limit: self.options.limit,
+            needs: self.state.needs() + self.ledger_share(),
+            used: self.used + self.later() + self.slack(),
+            ledger: self.ledger_share().saturating_sub(self.state.ledger_needs()),
+        }
+    }
+
+    pub(crate) fn retained_classes(&self) -> Vec<String> {
+        self.options.retain.as_ref().map(|retain| retain.classes.clone()).unwrap_or_default()
     }
 
-    /// Guards against a ledger that forgets early: each live message of its classes has its entry's room. At the limit
-    /// it does harm to new orders, which are refused until older entries have had their time.
-    fn ledger_has_room(&self, taken: &Taken) -> bool {
-        let owed = self.state.owed(taken);
-        owed == 0 || self.state.ledger_needs() + owed <= self.ledger_share()
+    fn ledger_share(&self) -> u64 {
+        self.options.retain.as_ref().map_or(0, |retain| retain.bytes)
     }
 
     /// What live messages may still write.
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -31,6 +31,25 @@
     pub dormant: DormantTable,
     /// `[known]`
     pub known: KnownTable,
+    /// `[cores]`
+    pub cores: CoresTable,
+}
+
+/// Cores of one sender at most.
+pub const MOST_CORES: u32 = 64;
+
+/// `[cores]`: how many cores one sender uses.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CoresTable {
+    /// `count`: threads that decide and have connections of their own, from 1 to [`MOST_CORES`]. With 1 there are no others.
+    pub count: u32,
+}
+
+impl Default for CoresTable {
+    fn default() -> Self {
+        Self { count: 1 }
+    }
 }
 
 /// `[known]`: what a sender has learnt of partners is kept for its next process. Without `on` nothing is kept, nothing that was
@@ -289,6 +308,16 @@
             }
             _ => None,
         });
+        let cores = read.cores.count;
+        let beside = beside.or(match cores {
+            0 => Some(("count", "a sender has one core at least")),
+            _ if cores > MOST_CORES => Some(("count", "a sender has 64 cores at most")),
+            2.. if read.known.on => Some((
+                "count",
+                "with [known] on there is one core: what is known is not written by several yet",
+            )),
+            _ => None,
+        });
         if let Some((name, reason)) = beside {
             return Err(Problem { line: line_of(name), reason: reason.to_owned() });
         }
@@ -318,7 +347,7 @@
             (
                 "# one\n[jurnal]\n",
                 "2: ",
-                "unknown field `jurnal`, expected one of `journal`, `status`, `dormant`, `known`",
+                "unknown field `jurnal`, expected one of `journal`, `status`, `dormant`, `known`, `cores`",
             ),
             ("[journal]\nsync = \"always\"\n", "2: ", "unknown variant `always`, expected `none` or `group`"),
             ("[status]\n\nevery = \"5ms\"\n", "3: ", "every 100ms"),
@@ -338,6 +367,9 @@
             ("[known]\non = true\nsize = \"1KiB\"\n", "3: ", "16KiB"),
             ("[known]\non = true\nspan = \"0s\"\n", "3: ", "leave on out"),
             ("[known]\nclock = \"sun\"\n", "2: ", "expected `wall` or `boot`"),
+            ("[cores]\ncount = 0\n", "2: ", "one core at least"),
+            ("[cores]\ncount = 65\n", "2: ", "64 cores at most"),
+            ("[known]\non = true\n[cores]\ncount = 2\n", "4: ", "there is one core"),
             ("[journal]\nsync = \n", "2: ", ""),
             ("[journal]\nsync = \"none\"\nsync = \"none\"\n", "3: ", "duplicate key"),
         ] {
