--- a/crates/decision/src/policy/takeover.rs
+++ b/crates/decision/src/policy/takeover.rs
@@ -43,6 +43,7 @@
         policy.rng = fastrand::Rng::with_seed(seed);
         policy.now = policy.now.max(now);
         policy.reminder = None;
+        policy.book.waiting.count_again();
         policy.unbound.clear();
         if policy.stop_at.take().is_some() {
             policy.book.waiting.touch_all();
--- a/crates/decision/src/policy/view.rs
+++ b/crates/decision/src/policy/view.rs
@@ -20,6 +20,13 @@
         self.endpoints.in_list().filter(|(id, ready)| avoided(*id, *ready)).count()
     }
 
+    /// Endpoints in the list that may take something new, and get no more than a trial.
+    pub fn shut(&self) -> usize {
+        let of = |id| self.endpoints.route(id).and_then(|route| self.routes.get(&route));
+        let shut = |id| of(id).is_some_and(|route| route.breaker.state != State::Closed);
+        self.endpoints.in_list().filter(|(id, ready)| *ready && shut(*id)).count()
+    }
+
     /// Destinations that are awake, and routes that are remembered asleep.
     pub fn awake_and_asleep(&self) -> (usize, usize) {
         self.routes.awake_and_asleep()
--- a/crates/decision/src/waiting.rs
+++ b/crates/decision/src/waiting.rs
@@ -44,6 +44,9 @@
     due: BTreeSet<(Micros, DestinationId)>,
     touched: BTreeSet<DestinationId>,
     ready: BTreeSet<(Place, DestinationId)>,
+    /// How many messages there are; counted anew where another process counted.
+    #[serde(skip)]
+    count: usize,
 }
 
 impl Waiting {
@@ -51,7 +54,7 @@
     pub fn insert(&mut self, ticket: &Ticket) {
         let cell = self.cells.entry(ticket.destination).or_default();
         cell.queues.entry((ticket.class, ticket.tenant)).or_default().insert((ticket.aim, ticket.id));
-        cell.ends.insert((ticket.end, ticket.id));
+        self.count += usize::from(cell.ends.insert((ticket.end, ticket.id)));
         self.touched.insert(ticket.destination);
     }
 
@@ -64,7 +67,7 @@
                 cell.queues.remove(&(ticket.class, ticket.tenant));
             }
         }
-        cell.ends.remove(&(ticket.end, ticket.id));
+        self.count -= usize::from(cell.ends.remove(&(ticket.end, ticket.id)));
         if cell.ends.is_empty() {
             let (due, ready) = (cell.due, cell.ready);
             self.cells.remove(&ticket.destination);
@@ -75,7 +78,12 @@
 
     /// How many wait.
     pub fn len(&self) -> usize {
-        self.cells.values().map(|cell| cell.ends.len()).sum()
+        self.count
+    }
+
+    /// Counts what another process left.
+    pub fn count_again(&mut self) {
+        self.count = self.cells.values().map(|cell| cell.ends.len()).sum();
     }
 
     /// How many wait for a destination.
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -62,6 +62,9 @@
         id: String,
         /// The client's request.
         request: u64,
+        /// Where it was to go; 0 where another version does not say.
+        #[serde(default)]
+        destination: u16,
     },
     /// Attempts ended that travelled as one call.
     CallOver(Vec<Over>),
--- a/crates/ops/src/figures.rs
+++ b/crates/ops/src/figures.rs
@@ -45,6 +45,15 @@
         }
     }
 
+    /// Counts what was counted elsewhere too.
+    pub fn add(&mut self, other: &Self) {
+        for (class, counts) in &other.classes {
+            if let Some((_, ours)) = self.classes.iter_mut().find(|(name, _)| name == class) {
+                ours.iter_mut().zip(counts).for_each(|(ours, theirs)| *ours += theirs);
+            }
+        }
+    }
+
     /// The figures in the Prometheus text format.
     pub fn text(&self, now: Now) -> String {
         let mut text = String::new();
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,6 +2,7 @@
 //! line `held: …` with the figures or `broken: …` with what did not hold.
 
 mod compaction_kills;
+mod cores;
 mod demo;
 mod herd;
 mod idle;
@@ -22,6 +23,7 @@
 use scenario::{Options, Scenario};
 
 const SCENARIOS: &[Scenario] = &[
+    cores::SCENARIO,
     demo::SCENARIO,
     herd::SCENARIO,
     idle::SCENARIO,
@@ -47,7 +49,10 @@
     if let (Some(first), Some(second)) = (std::env::args().nth(1), std::env::args().nth(2)) {
         let run = match first.as_str() {
             journal_bench::READER => Some(journal_bench::reader(second.as_ref())),
-            proxy::PROXY => Some(proxy::run(&second)),
+            proxy::PROXY => {
+                let cores = std::env::args().nth(3).and_then(|cores| cores.parse().ok());
+                Some(proxy::run(&second, cores.unwrap_or(1)))
+            }
             _ => None,
         };
         if let Some(run) = run {
--- a/crates/rig/src/throughput.rs
+++ b/crates/rig/src/throughput.rs
@@ -27,7 +27,7 @@
 const AIM: f64 = 2.0;
 
 /// A process that is ended with its value.
-struct Process(Child);
+pub struct Process(pub Child);
 
 impl Drop for Process {
     fn drop(&mut self) {
@@ -37,7 +37,7 @@
 }
 
 /// CPU that a process has used, in the system's ticks of 10 ms.
-fn cpu(pid: u32) -> Duration {
+pub fn cpu(pid: u32) -> Duration {
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
     // The name may hold spaces: what counts comes behind its bracket.
     let fields: Vec<&str> = text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
@@ -53,7 +53,7 @@
     other: u64,
     /// Delivered while it ran.
     pub delivered: u64,
-    seconds: f64,
+    pub seconds: f64,
     cpu: Duration,
 }
 
@@ -109,6 +109,19 @@
     })
 }
 
+/// A bare proxy to these partners, on so many cores.
+pub fn proxy(partners: &[Partner], cores: usize) -> Result<(Process, SocketAddr), String> {
+    let places: Vec<_> = partners.iter().map(|partner| partner.address.to_string()).collect();
+    let mut command = Command::new(std::env::current_exe().map_err(|e| e.to_string())?);
+    let command = command.arg(PROXY).arg(places.join(",")).arg(cores.to_string()).stdout(Stdio::piped());
+    let mut proxy = Process(command.spawn().map_err(|e| e.to_string())?);
+    let mut line = String::new();
+    let out = proxy.0.stdout.take().ok_or("the proxy has no output")?;
+    BufReader::new(out).read_line(&mut line).map_err(|e| e.to_string())?;
+    let address = line.trim().parse().map_err(|e| format!("{line}: {e}"))?;
+    Ok((proxy, address))
+}
+
 /// Partners that are well, and answer at once.
 pub fn partners() -> Vec<Partner> {
     (0..PARTNERS).map(|_| Partner::new(Mood::Well(Duration::ZERO))).collect()
@@ -146,13 +159,7 @@
         drop(node);
         // The proxy knows one partner: where messages go is no part of what it does.
         let upstream = Partner::new(well);
-        let mut command = Command::new(std::env::current_exe().map_err(|e| e.to_string())?);
-        let command = command.arg(PROXY).arg(upstream.address.to_string()).stdout(Stdio::piped());
-        let mut proxy = Process(command.spawn().map_err(|e| e.to_string())?);
-        let mut line = String::new();
-        let out = proxy.0.stdout.take().ok_or("the proxy has no output")?;
-        BufReader::new(out).read_line(&mut line).map_err(|e| e.to_string())?;
-        let address = line.trim().parse().map_err(|e| format!("{line}: {e}"))?;
+        let (proxy, address) = proxy(std::slice::from_ref(&upstream), 1)?;
         let bare = load(address, proxy.0.id(), std::slice::from_ref(&upstream), *clients, time);
         let ratio = sender.each() / bare.each();
         println!(
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -9,7 +9,7 @@
 use crate::list::ListBody;
 
 /// All that the sender is told.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Config {
     /// Its name.
     pub name: String,
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -11,7 +11,7 @@
 use decision::interface::*;
 use decision::policy::Policy;
 use handover::State;
-use journal::{GivenUp, Journal, Record, Taken};
+use journal::{GivenUp, Record, Taken};
 use known::belief::Belief;
 use ops::door::Door;
 use ops::figures::{End, Ends};
@@ -30,11 +30,15 @@
 use crate::peers::Peers;
 use crate::platform::{self, Notice};
 use crate::ports::{Answer, AttemptOver, Carrier, Clock, Front, Inbound, Pace, Part};
+use crate::store::Store;
 
 mod begin;
 mod duty;
 mod learnt;
 mod taking;
+mod team;
+
+pub use team::Member;
 
 /// From SIGTERM until the process may be killed.
 const STOP_WITHIN: Micros = 3_700_000;
@@ -72,7 +76,7 @@
 struct Driver {
     clock: Clock,
     policy: Policy,
-    journal: Journal,
+    journal: Store,
     directory: Directory,
     peers: Option<Peers>,
     notices: UnboundedSender<Notice>,
@@ -110,6 +114,12 @@
     complain_at: Micros,
     /// Notices whose records are not written yet.
     unsaid: Vec<(u32, GivenUp, String)>,
+    /// One of several cores; none where there is one.
+    member: Option<Member>,
+    /// A destination came in this turn.
+    joined: bool,
+    /// Other cores that wait for the end of this turn.
+    when_turned: Vec<oneshot::Sender<()>>,
 }
 
 /// What the driver is put together with.
@@ -117,7 +127,9 @@
     /// The time.
     pub clock: Clock,
     /// What was taken on.
-    pub journal: Journal,
+    pub journal: Store,
+    /// What one of several cores has beside.
+    pub member: Option<Member>,
     /// Take messages on.
     pub fronts: Vec<Rc<dyn Front>>,
     /// Make calls; the first that can read an endpoint's address makes those to it.
@@ -173,12 +185,26 @@
     inbound: UnboundedSender<Inbound>,
     events: &mut UnboundedReceiver<Inbound>,
 ) -> Result<Ended, String> {
-    let Parts { clock, journal, fronts, carriers, peers, door, held_out, set_back, begun, memory, .. } =
-        parts;
+    let Parts {
+        clock,
+        journal,
+        member,
+        fronts,
+        carriers,
+        peers,
+        door,
+        held_out,
+        set_back,
+        begun,
+        memory,
+        ..
+    } = parts;
     let (from, before, waits, ends) = (parts.taken_over, parts.before, parts.waits, parts.ends);
     let mut belief = parts.belief;
-    let new = || Policy::new(config.settings.clone(), config.seed, clock.now());
-    let (from, policy) = from.map_or_else(|| (None, new()), |(state, policy)| (Some(state), policy));
+    let me = member.as_ref().map_or(cores::Core(0), Member::me);
+    let new = || Policy::new(config.settings.clone(), config.seed.wrapping_add(me.0.into()), clock.now());
+    let (from, mut policy) = from.map_or_else(|| (None, new()), |(state, policy)| (Some(state), policy));
+    policy.count_calls_from(u64::from(me.0) << 48);
     let (notices, owed) = unbounded_channel();
     let whole_list = Rc::new(Notify::new());
     let (discovery, found) = watch::channel(config.discovery);
@@ -210,15 +236,19 @@
         unwritten: Vec::new(),
         complain_at: 0,
         unsaid: Vec::new(),
+        member,
+        joined: false,
+        when_turned: Vec::new(),
         policy,
     };
-    let (first, from) = match from {
+    let (mut first, from) = match from {
         Some(state) => {
             let first = driver.go_on(state);
             (first, Some(driver.index))
         }
         None => driver.start(config.known.clone(), set_back, waits, &mut belief),
     };
+    driver.lease(&mut first);
     driver.turn(first);
 
     let mut places = Vec::new();
@@ -233,13 +263,13 @@
     tokio::task::spawn_local(platform::notices(found.clone(), owed, inbound.clone()));
     let again = Again::new(config.settings.senders, config.seed);
     let good_for = Duration::from_micros(belief.list.good_for);
-    let watch = tokio::task::spawn_local(platform::watch(found, from, whole_list, again, good_for, inbound));
-    eprintln!(
-        "{} is ready on {} with {} messages in hand",
-        config.name,
-        places.join(" and "),
-        driver.journal.live().len()
-    );
+    // One core watches the list for all.
+    let watch = (me == cores::Core(0)).then(|| {
+        tokio::task::spawn_local(platform::watch(found, from, whole_list, again, good_for, inbound))
+    });
+    if me == cores::Core(0) {
+        driver.say_ready(&config.name, &places);
+    }
 
     let period = Duration::from_micros(config.settings.period);
     let mut turned = tokio::time::Instant::now();
@@ -250,16 +280,20 @@
         let watchful = driver.stop_at.is_some() || driver.successor.is_some() || !driver.unwritten.is_empty();
         let due = if watchful { due.min(clock.now() + 50_000) } else { due };
         let due = if driver.directory.is_behind() { 0 } else { due };
+        let with_others = driver.member.as_ref().map(|member| member.looks_at(clock.now()));
+        let due = due.min(with_others.unwrap_or(due));
         let to_write = driver.memory.as_ref().and_then(|memory| memory.next_due(clock.now()));
         let due = due.min(to_write.unwrap_or(due));
         let first = tokio::select! {
             first = events.recv() => first,
+            () = team::woken(driver.member.as_ref()) => None,
             () = tokio::time::sleep_until(clock.instant(due.min(clock.now() + 60_000_000))) => None,
         };
         // Turns are a period apart at least, as the module is told.
         tokio::time::sleep_until(turned + period).await;
         turned = tokio::time::Instant::now();
         let mut said: Vec<Event> = Vec::new();
+        driver.hear_cores(&fronts, &mut said);
         first.into_iter().for_each(|inbound| driver.fold(inbound, &mut said));
         while let Ok(inbound) = events.try_recv() {
             driver.fold(inbound, &mut said);
@@ -275,11 +309,14 @@
             }
             said.push(Event::Reminder(timer.1));
         }
-        if !said.is_empty() || !driver.unwritten.is_empty() {
+        driver.lease(&mut said);
+        if !said.is_empty() || !driver.unwritten.is_empty() || std::mem::take(&mut driver.joined) {
             driver.turn(said);
         }
+        driver.after_turn();
         driver.keep_known();
-        if driver.may_end(fronts.iter().map(|front| front.open()).sum()) {
+        let may_end = driver.may_end(fronts.iter().map(|front| front.open()).sum());
+        if driver.member.as_ref().map_or(may_end, |member| member.team().done(me, may_end)) {
             return Ok(Ended::Done);
         }
         // Guards the end of a call that is on its way here, and out nowhere any more: it must not get lost between the
@@ -288,7 +325,7 @@
         if let Some(successor) = driver.successor.take_if(|_| now) {
             match driver.state(fronts.iter().map(|front| front.requests()).max().unwrap_or(0)) {
                 Ok(state) => {
-                    watch.abort();
+                    watch.iter().for_each(tokio::task::JoinHandle::abort);
                     let (state, ends, peers) = (Box::new(state), driver.ends, driver.peers);
                     return Ok(Ended::HandsOver { successor, state, ends, peers });
                 }
@@ -301,12 +338,13 @@
 impl Driver {
     /// Turns what a task says into events for the module.
     fn fold(&mut self, inbound: Inbound, said: &mut Vec<Event>) {
+        let Some(inbound) = self.sorted(inbound) else { return };
         if let Inbound::Listed(Listed(list)) = &inbound {
             (self.index, self.list_is_good) = (list.index, true);
         }
         match inbound {
             Inbound::HandedIn(message) => self.handed_in(message, said),
-            Inbound::Withdrawn { id, request } => self.withdrawn(&id, request, said),
+            Inbound::Withdrawn { id, request, .. } => self.withdrawn(&id, request, said),
             Inbound::CallOver(ends) => ends.into_iter().for_each(|end| said.push(self.ended(end))),
             Inbound::Event(event) => said.push(event),
             Inbound::Successor(link) => self.successor = Some(link),
@@ -325,18 +363,17 @@
                     }
                 }
             }
-            Inbound::Ops(call, answer) => {
-                let _ = answer.send(self.asked(call, said));
-            }
+            Inbound::Ops(call, answer) => self.answer_staff(call, answer, said),
             Inbound::Status => {
                 let open: Vec<_> = self.policy.open_breakers().iter().map(|d| d.0).collect();
                 let (awake, asleep) = self.policy.awake_and_asleep();
-                eprintln!("status held={} awake={awake} asleep={asleep} open={open:?}", self.policy.held());
+                let core =
+                    self.member.as_ref().map_or(String::new(), |member| format!(" core={}", member.me().0));
+                let held = self.policy.held();
+                eprintln!("status{core} held={held} awake={awake} asleep={asleep} open={open:?}");
             }
             Inbound::Reload => match config::discovery_again() {
-                Ok(address) => {
-                    self.discovery.send_if_modified(|at| std::mem::replace(at, address) != address);
-                }
+                Ok(address) => self.discovery_is_at(address),
                 Err(e) => eprintln!("the configuration stays as it was: {}", e.replace(['\n', '\r'], " ")),
             },
             Inbound::Terminate if self.stop_at.is_some() => {}
@@ -373,6 +410,7 @@
                 Action::Attempt { message, endpoint, timeout, hold, fresh: new } => {
                     if let Some(attempt) = self.attempts_of(message, &fresh) {
                         self.note_call(endpoint);
+                        self.note_out(message, attempt, endpoint);
                         let pace = Pace { hold, fresh: new };
                         sends.push(Send { message, attempt, endpoint, timeout, pace });
                     }
@@ -381,9 +419,7 @@
                     given_up.push((message.0, GivenUp::Deferred(retry_after)));
                 }
                 Action::Fail(message) => given_up.push((message.0, GivenUp::Undeliverable)),
-                Action::Cancel { message, attempt } => {
-                    self.directory.carriers().iter().for_each(|carrier| carrier.cancel(message, attempt));
-                }
+                Action::Cancel { message, attempt } => self.call_off(message, attempt),
                 Action::Probe(endpoint) => match self.directory.carrier(endpoint) {
                     Some(carrier) => carrier.probe(endpoint),
                     None => {
@@ -478,6 +514,12 @@
         }
     }
 
+    fn say_ready(&self, name: &str, places: &[String]) {
+        let cores = self.member.as_ref().map_or(String::new(), |m| format!(", {} cores", m.team().count()));
+        let hand = self.journal.live().len();
+        eprintln!("{name} is ready on {} with {hand} messages in hand{cores}", places.join(" and "));
+    }
+
     /// At most once a second, for it is tried again in every turn.
     fn complain(&mut self, what: &str, why: &dyn std::fmt::Display) {
         let now = self.clock.now();
@@ -561,7 +603,7 @@
 }
 
 /// Names of endpoints at which attempts of messages that are held may have run.
-fn endpoints_of_attempts(journal: &Journal) -> impl Iterator<Item = &str> {
+fn endpoints_of_attempts(journal: &Store) -> impl Iterator<Item = &str> {
     let attempts = journal.live().values().flat_map(|live| &live.attempts);
     attempts.filter(|attempt| !attempt.never_ran).map(|attempt| &*attempt.endpoint)
 }
--- a/crates/sender/src/driver/duty.rs
+++ b/crates/sender/src/driver/duty.rs
@@ -21,7 +21,10 @@
         match call {
             Call::Status if door == Door::Closing => told(503, "ending\n"),
             Call::Status => told(200, "taking clients\n"),
-            Call::Metrics => told(200, &self.ends.text(self.figures())),
+            Call::Metrics => {
+                let (ends, now) = self.figures_of_all();
+                told(200, &(ends.text(now) + &self.figures_by_core()))
+            }
             Call::Standby | Call::Active if door == Door::Closing => told(409, "ending\n"),
             Call::Standby => {
                 self.door.send_replace(door.standby(self.clock.now()));
--- a/crates/sender/src/driver/taking.rs
+++ b/crates/sender/src/driver/taking.rs
@@ -6,6 +6,7 @@
 
 use super::{Driver, Fresh, NO_ROOM_AGAIN, UNLISTED_AGAIN, message};
 use crate::ports::{Answer, AttemptOver, HandedIn};
+use crate::store::Store;
 
 impl Driver {
     pub(super) fn handed_in(&mut self, message: HandedIn, said: &mut Vec<Event>) {
@@ -37,15 +38,28 @@
             let _ = answer.send(Answer::Refused(NO_ROOM_AGAIN));
             return;
         }
+        let Some(number) = self.number() else {
+            self.ends.count(&taken.class, End::Throttled);
+            let _ = answer.send(Answer::Refused(NO_ROOM_AGAIN));
+            return;
+        };
+        said.push(Event::Accepted(self::message(number, class, &taken, self.clock.now())));
+        self.held.insert(taken.id.clone(), (number, request));
+        self.fresh.insert(number, Fresh { taken, answers: vec![(request, answer)] });
+    }
+
+    /// A number that no message has; none while the cores' journal is another process's.
+    fn number(&mut self) -> Option<u32> {
+        if let Store::Part(part) = &mut self.journal {
+            return part.number().ok();
+        }
         let mut number = self.next_message;
         // Guards a message that has lived through all numbers against another under its own.
         while self.journal.live().contains_key(&number) || self.fresh.contains_key(&number) {
             number = number.wrapping_add(1);
         }
         self.next_message = number.wrapping_add(1);
-        said.push(Event::Accepted(self::message(number, class, &taken, self.clock.now())));
-        self.held.insert(taken.id.clone(), (number, request));
-        self.fresh.insert(number, Fresh { taken, answers: vec![(request, answer)] });
+        Some(number)
     }
 
     /// A withdrawal belongs to its own request: guards a message against another client that used its id.
--- /dev/null
+++ b/crates/sender/src/driver/team.rs
@@ -0,0 +1,594 @@
+//! One of several cores: what it hears from the others and says to them, what it may use, and destinations that come and go.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cores::{Advice, Core, Load, Owners, Planner, Router};
+use decision::interface::*;
+use ops::call::Call;
+use ops::figures::{Ends, Now};
+use ops::held_out::HeldOut;
+use tokio::sync::oneshot;
+
+use super::Driver;
+use crate::cores::{BUSY_AGAIN, Bundle, Figures, Post, Say, Team};
+use crate::ports::{Answer, Front, Inbound, Told};
+
+/// A destination that can't go for so long stays.
+const DEPART_WITHIN: Micros = 1_000_000;
+/// What binds all cores does so within this time, or on-call staff are told that it does not yet.
+const BINDS_WITHIN: Duration = Duration::from_millis(800);
+/// The planner looks so often.
+const PLAN_EVERY: Micros = 250_000;
+/// A core shows its figures so often at most, and at least while anything changes them.
+const SHOW_EVERY: Micros = 100_000;
+
+/// A destination that was told to go.
+struct Departing {
+    destination: u16,
+    to: Core,
+    until: Micros,
+}
+
+/// What a driver has beside what one of a single core has.
+pub struct Member {
+    post: Rc<Post>,
+    router: Router<EndpointId>,
+    /// As of this turn.
+    owners: Arc<Owners>,
+    /// What the module may use, as it was last told.
+    told: (usize, usize),
+    connections: usize,
+    work: HashMap<u16, u32>,
+    departing: Option<Departing>,
+    /// Figures are shown again then.
+    show_at: Micros,
+    came: u64,
+    went: u64,
+    /// The first core plans for all.
+    planner: Option<(Planner, Micros)>,
+    /// The planner has said that no move helps.
+    stuck: bool,
+}
+
+impl Member {
+    /// Nothing is out.
+    pub fn new(post: Rc<Post>) -> Self {
+        let (me, team) = (post.me(), post.team());
+        let planner = (me == Core(0)).then(|| (Planner::new(team.count()), 0));
+        let owners = team.owners();
+        Self {
+            router: Router::new(me),
+            owners,
+            told: (0, 0),
+            connections: 0,
+            work: HashMap::new(),
+            departing: None,
+            show_at: 0,
+            came: 0,
+            went: 0,
+            planner,
+            stuck: false,
+            post,
+        }
+    }
+
+    /// What all share.
+    pub fn team(&self) -> &Arc<Team> {
+        self.post.team()
+    }
+
+    /// Which core this is.
+    pub fn me(&self) -> Core {
+        self.post.me()
+    }
+
+    fn is_mine(&self, destination: u16) -> bool {
+        self.owners.of(destination) == self.me()
+    }
+
+    fn to_owner(&self, destination: u16, say: Say) {
+        self.post.say(self.owners.of(destination), say);
+    }
+
+    fn others(&self) -> impl Iterator<Item = Core> {
+        let me = self.me();
+        self.team().all().filter(move |core| *core != me)
+    }
+
+    fn worked(&mut self, destination: u16) {
+        *self.work.entry(destination).or_default() += 1;
+    }
+
+    /// Whether it is to be looked at soon though nothing happens.
+    fn is_watchful(&self) -> bool {
+        self.departing.is_some() || self.post.is_behind()
+    }
+
+    /// When it is to be looked at, though nothing happens.
+    pub(super) fn looks_at(&self, now: Micros) -> Micros {
+        let soon = if self.is_watchful() { now + 5_000 } else { Micros::MAX };
+        // Once more behind the last change: figures are as old as that at most.
+        let shows = if self.router.begun() > 0 || self.show_at > now {
+            self.show_at.max(now + 1)
+        } else {
+            Micros::MAX
+        };
+        self.planner.as_ref().map_or(Micros::MAX, |planner| planner.1).min(soon).min(shows)
+    }
+}
+
+/// Other cores said something to this one.
+pub(super) async fn woken(member: Option<&Member>) {
+    match member {
+        Some(member) => member.team().mailbox(member.me()).woken().await,
+        None => std::future::pending().await,
+    }
+}
+
+impl Driver {
+    /// Takes in what other cores said. Guards the one owner of each destination in this order, which the package `cores`
+    /// checks in all interleavings: the owners are read, then all that came is taken, parcels first, and only then is
+    /// anything judged by those owners. So what is this core's by them is here, and all else is sent on.
+    pub(super) fn hear_cores(&mut self, fronts: &[Rc<dyn Front>], said: &mut Vec<Event>) {
+        let Some(member) = &mut self.member else { return };
+        member.owners = member.team().owners();
+        let came = member.team().mailbox(member.me()).drain();
+        let (parcels, others): (Vec<_>, Vec<_>) =
+            came.into_iter().partition(|say| matches!(say, Say::Parcel(_)));
+        for say in parcels {
+            if let Say::Parcel(bundle) = say {
+                self.join(*bundle);
+            }
+        }
+        for say in others {
+            self.hear(say, fronts, said);
+        }
+    }
+
+    fn hear(&mut self, say: Say, fronts: &[Rc<dyn Front>], said: &mut Vec<Event>) {
+        let Some(member) = &mut self.member else { return };
+        match say {
+            Say::HandedIn(message) => self.fold(Inbound::HandedIn(message), said),
+            Say::Withdrawn { id, request, destination } => {
+                self.fold(Inbound::Withdrawn { id, request, destination }, said);
+            }
+            Say::Ended { destination, .. } if !member.is_mine(destination) => {
+                member.to_owner(destination, say)
+            }
+            Say::Ended { destination, name, mut over } => {
+                member.worked(destination);
+                member.router.heard((over.message.0, over.attempt));
+                over.endpoint = self.directory.listed_id(&name).unwrap_or(UNLISTED);
+                said.push(self.ended(over));
+            }
+            Say::Wait { destination, .. } if !member.is_mine(destination) => {
+                member.to_owner(destination, say)
+            }
+            Say::Wait { destination, name, wait } => said.push(self.wait(destination, &name, wait)),
+            Say::Parcel(bundle) => self.join(*bundle),
+            Say::Depart { destination, to } => {
+                let until = self.clock.now() + DEPART_WITHIN;
+                if member.departing.replace(Departing { destination, to, until }).is_some() {
+                    member.team().stayed();
+                }
+            }
+            Say::Cancel(message, attempt) => {
+                self.directory.carriers().iter().for_each(|carrier| carrier.cancel(message, attempt));
+            }
+            Say::Listed(list) => self.fold(Inbound::Listed(crate::list::Listed(list)), said),
+            Say::ListFailed => said.push(Event::ListFailed),
+            Say::HeldOut(held_out, done) => {
+                said.push(self.directory.hold_out(held_out));
+                self.when_turned.push(done);
+            }
+            Say::Client(stream) => match fronts.first() {
+                Some(front) => front.clone().adopt(stream),
+                None => member.team().client_gone(member.me()),
+            },
+            Say::Discovery(address) => self.discovery_is_at(address),
+            Say::Status => self.fold(Inbound::Status, said),
+            Say::Terminate => self.fold(Inbound::Terminate, said),
+        }
+    }
+
+    /// Discovery moved, for this core and, where it is the first, for all.
+    pub(super) fn discovery_is_at(&mut self, address: SocketAddr) {
+        self.discovery.send_if_modified(|at| std::mem::replace(at, address) != address);
+        if let Some(member) = self.member.as_ref().filter(|member| member.me() == Core(0)) {
+            member.others().for_each(|core| member.post.say(core, Say::Discovery(address)));
+        }
+    }
+
+    /// A wait that an endpoint told, which no list need name any more: then it is its destination's.
+    fn wait(&self, destination: u16, name: &str, wait: Micros) -> Event {
+        match self.directory.listed_id(name) {
+            Some(endpoint) => Event::Wait { endpoint, wait },
+            None => {
+                let learnt = Learnt { wait_until: self.clock.now() + wait, ..Learnt::default() };
+                Event::Learnt { route: (DestinationId(destination), Some(UNLISTED)), learnt }
+            }
+        }
+    }
+
+    /// What belongs to another core goes there; tells what is this one's.
+    pub(super) fn sorted(&mut self, inbound: Inbound) -> Option<Inbound> {
+        let Some(member) = &mut self.member else { return Some(inbound) };
+        match inbound {
+            Inbound::HandedIn(message) if !member.is_mine(message.taken.destination) => {
+                let destination = message.taken.destination;
+                if let Err(Say::HandedIn(message)) =
+                    member.post.try_say(member.owners.of(destination), Say::HandedIn(message))
+                {
+                    let _ = message.answer.send(Answer::Refused(BUSY_AGAIN));
+                }
+                None
+            }
+            Inbound::HandedIn(message) => {
+                member.worked(message.taken.destination);
+                Some(Inbound::HandedIn(message))
+            }
+            Inbound::Withdrawn { id, request, destination } if !member.is_mine(destination) => {
+                member.to_owner(destination, Say::Withdrawn { id, request, destination });
+                None
+            }
+            Inbound::CallOver(ends) => {
+                let mut ours = Vec::new();
+                for over in ends {
+                    let attempt = (over.message.0, over.attempt);
+                    match member.router.ended(attempt).filter(|destination| !member.is_mine(*destination)) {
+                        Some(destination) => {
+                            let name = self.directory.name(over.endpoint);
+                            member.to_owner(destination, Say::Ended { destination, name, over });
+                        }
+                        None => {
+                            self.directory
+                                .destination(over.endpoint)
+                                .into_iter()
+                                .for_each(|d| member.worked(d));
+                            member.router.heard(attempt);
+                            ours.push(over);
+                        }
+                    }
+                }
+                Some(Inbound::CallOver(ours))
+                    .filter(|ours| !matches!(ours, Inbound::CallOver(ours) if ours.is_empty()))
+            }
+            Inbound::Event(Event::Wait { endpoint, wait }) => {
+                let listed = self.directory.destination(endpoint);
+                let destination = listed.or_else(|| member.router.destination(endpoint));
+                match destination.filter(|destination| !member.is_mine(*destination)) {
+                    Some(destination) => {
+                        let name = self.directory.name(endpoint);
+                        member.to_owner(destination, Say::Wait { destination, name, wait });
+                        None
+                    }
+                    None => Some(Inbound::Event(Event::Wait { endpoint, wait })),
+                }
+            }
+            // What one core hears for all.
+            Inbound::Listed(list) if member.me() == Core(0) => {
+                member.others().for_each(|core| member.post.say(core, Say::Listed(list.0.clone())));
+                Some(Inbound::Listed(list))
+            }
+            Inbound::Event(Event::ListFailed) if member.me() == Core(0) => {
+                member.others().for_each(|core| member.post.say(core, Say::ListFailed));
+                Some(Inbound::Event(Event::ListFailed))
+            }
+            Inbound::Terminate if member.me() == Core(0) => {
+                member.others().for_each(|core| member.post.say(core, Say::Terminate));
+                Some(Inbound::Terminate)
+            }
+            Inbound::Status if member.me() == Core(0) => {
+                member.others().for_each(|core| member.post.say(core, Say::Status));
+                Some(Inbound::Status)
+            }
+            inbound => Some(inbound),
+        }
+    }
+
+    /// Tells the other cores who is held out; the answer comes once each has done it.
+    fn held_out_everywhere(&self, held_out: &HeldOut) -> Vec<oneshot::Receiver<()>> {
+        let Some(member) = &self.member else { return Vec::new() };
+        let tell = |core| {
+            let (done, heard) = oneshot::channel();
+            member.post.say(core, Say::HeldOut(held_out.clone(), done));
+            heard
+        };
+        member.others().map(tell).collect()
+    }
+
+    /// Answers on-call staff; a yes to what binds all cores comes once it does.
+    pub(super) fn answer_staff(&mut self, call: Call, answer: oneshot::Sender<Told>, said: &mut Vec<Event>) {
+        let binds = matches!(call, Call::HoldOut(_) | Call::PutBack(_));
+        let told = self.asked(call, said);
+        if !binds || told.status != 200 || self.member.is_none() {
+            let _ = answer.send(told);
+            return;
+        }
+        let waits = self.held_out_everywhere(self.directory.held_out());
+        tokio::task::spawn_local(async move {
+            let all = async {
+                for heard in waits {
+                    let _ = heard.await;
+                }
+            };
+            let told = match tokio::time::timeout(BINDS_WITHIN, all).await {
+                Ok(()) => told,
+                Err(_) => {
+                    Told { status: 503, text: "it is kept, and a core has not taken it in yet\n".into() }
+                }
+            };
+            let _ = answer.send(told);
+        });
+    }
+
+    /// Asks for what this turn needs of what belongs to the whole process, before the module decides.
+    pub(super) fn lease(&mut self, said: &mut Vec<Event>) {
+        let Some(member) = &mut self.member else { return };
+        let come =
+            said.iter().filter(|event| matches!(event, Event::Accepted(_) | Event::Resumed { .. })).count();
+        let (held, out, waiting) = (self.policy.held(), self.policy.calls_out(), self.policy.waiting());
+        // The module begins to shed a sixteenth ahead of its room.
+        let room_for = (held + come) * 16 / 15 + 2;
+        let used: usize = self.directory.carriers().iter().map(|carrier| carrier.connections()).sum();
+        let (slots, messages, connections) = {
+            let mut room = member.team().room();
+            let slots = room.slots.turn(member.me(), out, out + waiting + come);
+            let messages = room.held.turn(member.me(), held, room_for);
+            let more = slots.lease.saturating_sub(out).min(waiting + come);
+            (slots, messages, room.connections.turn(member.me(), used, used + more))
+        };
+        for leased in [&slots, &messages, &connections] {
+            leased.concerned.iter().for_each(|core| member.team().mailbox(*core).wake());
+        }
+        if std::mem::replace(&mut member.connections, connections.lease) != connections.lease {
+            self.directory.carriers().iter().for_each(|carrier| carrier.set_connections(connections.lease));
+        }
+        if member.told != (slots.lease, messages.lease) {
+            member.told = (slots.lease, messages.lease);
+            said.push(Event::Room { slots: slots.lease, held: messages.lease });
+        }
+    }
+
+    /// A call begins on a connection of this core.
+    pub(super) fn note_out(&mut self, message: MessageId, attempt: u16, endpoint: EndpointId) {
+        if let (Some(member), Some(destination)) = (&mut self.member, self.directory.destination(endpoint)) {
+            member.router.begins((message.0, attempt), destination, endpoint);
+        }
+    }
+
+    /// An attempt of this core's module is called off, wherever its connection is.
+    pub(super) fn call_off(&self, message: MessageId, attempt: u16) {
+        if let Some(member) = &self.member {
+            let at = member.router.connection((message.0, attempt));
+            if at != member.me() {
+                return member.post.say(at, Say::Cancel(message, attempt));
+            }
+        }
+        self.directory.carriers().iter().for_each(|carrier| carrier.cancel(message, attempt));
+    }
+
+    /// What is left to do once a turn is over: what it came to is shown, and destinations go.
+    pub(super) fn after_turn(&mut self) {
+        for done in self.when_turned.drain(..) {
+            let _ = done.send(());
+        }
+        let now = self.clock.now();
+        self.plan(now);
+        self.depart(now);
+        self.show(now);
+        let Some(member) = &mut self.member else { return };
+        let me = member.me();
+        member.post.team().worked(me, member.work.drain());
+        member.post.flush();
+    }
+
+    /// Shows what this core counts. Guards turns against figures that take a look at all endpoints: once in a while.
+    fn show(&mut self, now: Micros) {
+        let Some(member) = self.member.as_mut().filter(|member| member.show_at <= now) else { return };
+        member.show_at = now + SHOW_EVERY;
+        let (me, team, moves) = (member.me(), member.team().clone(), (member.came, member.went));
+        let now = Now { out_of_rotation: self.policy.shut(), ..self.figures() };
+        team.show(me, Figures { ends: Some(self.ends.clone()), now, out: self.policy.calls_out(), moves });
+    }
+
+    /// Says once in a while which destination should go where, on the first core.
+    fn plan(&mut self, now: Micros) {
+        let Some(member) = &mut self.member else { return };
+        let Some((planner, at)) = member.planner.as_mut().filter(|planner| planner.1 <= now) else { return };
+        *at = now + PLAN_EVERY;
+        let owners = &member.owners;
+        let loads: Vec<Load> = member
+            .post
+            .team()
+            .take_work()
+            .into_iter()
+            .map(|(destination, events)| Load {
+                destination,
+                core: owners.of(destination),
+                work: events.into(),
+            })
+            .collect();
+        match planner.round(now, &loads) {
+            Advice::Move(advised) => {
+                planner.moved(advised);
+                member.stuck = false;
+                let say = Say::Depart { destination: advised.destination, to: advised.to };
+                if advised.from == member.post.me() {
+                    let until = now + DEPART_WITHIN;
+                    let (destination, to) = (advised.destination, advised.to);
+                    if member.departing.replace(Departing { destination, to, until }).is_some() {
+                        member.post.team().stayed();
+                    }
+                } else {
+                    member.post.say(advised.from, say);
+                }
+            }
+            Advice::Stuck { core, destination, share } if !member.stuck => {
+                member.stuck = true;
+                eprintln!(
+                    "core {} is busier than the others and no move helps: {:.0}% of its work is for destination {destination}",
+                    core.0,
+                    share * 100.0
+                );
+            }
+            Advice::Stuck { .. } => {}
+            Advice::Stay => member.stuck = false,
+        }
+    }
+
+    /// Parts with a destination that was told to go, as soon as it can be.
+    fn depart(&mut self, now: Micros) {
+        let Some(member) = &mut self.member else { return };
+        let Some(Departing { destination, to, until }) = member.departing.take() else { return };
+        let to_itself = to == member.me() || to.index() >= member.team().count();
+        if to_itself || !member.is_mine(destination) || self.stop_at.is_some() {
+            return member.team().stayed();
+        }
+        // Guards what is written or said half: a message that was given up stays until its notice is kept.
+        let given_up =
+            |live: &journal::Live| live.taken.destination == destination && live.given_up.is_some();
+        let written = self.unwritten.is_empty() && self.fresh.is_empty() && self.unsaid.is_empty();
+        let ready = written && !self.directory.is_behind() && !self.journal.live().values().any(given_up);
+        if !ready {
+            if now < until {
+                member.departing = Some(Departing { destination, to, until });
+            } else {
+                member.team().stayed();
+            }
+            return;
+        }
+        let parcel = match self.policy.part(DestinationId(destination)) {
+            Ok(parcel) => parcel,
+            Err(stays) => {
+                eprintln!("destination {destination} stays: {stays}");
+                return member.team().stayed();
+            }
+        };
+        let names = parcel.endpoints().into_iter().map(|id| (id, self.directory.name(id))).collect();
+        let numbers: Vec<u32> = parcel.messages().map(|message| message.0).collect();
+        let mut lives = Vec::new();
+        if let crate::store::Store::Part(part) = &mut self.journal {
+            lives = part.part(numbers.iter().copied());
+        }
+        let mut held = Vec::new();
+        for (number, live) in &lives {
+            if let Some((_, request)) = self.held.remove(&live.taken.id) {
+                held.push((live.taken.id.clone(), *number, request));
+            }
+        }
+        let attempts = numbers.iter().filter_map(|n| Some((*n, self.attempts.remove(n)?))).collect();
+        let connections = member.router.part(parcel.out().map(|(message, attempt, _)| (message.0, attempt)));
+        {
+            let mut room = member.team().room();
+            room.slots.hand(member.me(), to, parcel.calls());
+            room.held.hand(member.me(), to, numbers.len());
+        }
+        eprintln!(
+            "core {} hands destination {destination} to core {}: {} messages, {} calls out",
+            member.me().0,
+            to.0,
+            numbers.len(),
+            parcel.calls()
+        );
+        let (calls, messages) = (parcel.calls(), numbers.len());
+        let bundle = Bundle { parcel, names, lives, held, attempts, connections };
+        match member.post.say_now(to, Say::Parcel(Box::new(bundle))) {
+            // Behind the parcel: whoever reads the new owner finds the parcel there.
+            Ok(()) => {
+                member.went += 1;
+                member.team().has_gone(destination, to);
+            }
+            Err(Say::Parcel(bundle)) => {
+                eprintln!("destination {destination} stays: core {} takes nothing in", to.0);
+                let mut room = member.team().room();
+                room.slots.hand(to, member.me(), calls);
+                room.held.hand(to, member.me(), messages);
+                drop(room);
+                member.team().stayed();
+                self.join(*bundle);
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Goes on with a destination that another core parted with.
+    fn join(&mut self, bundle: Bundle) {
+        let Bundle { parcel, names, lives, held, attempts, connections } = bundle;
+        let Some(member) = &mut self.member else { return };
+        let mut ids = BTreeMap::new();
+        for (id, name) in names {
+            // One that its own core has no name for any more is like no other here.
+            let stray = || format!("?{id:?} of core {}", member.me().0);
+            let ours = match name.is_empty() {
+                true => self.directory.id_of_attempt(&stray()),
+                false => {
+                    self.directory.listed_id(&name).unwrap_or_else(|| self.directory.id_of_attempt(&name))
+                }
+            };
+            ids.insert(id, ours);
+        }
+        if let crate::store::Store::Part(part) = &mut self.journal {
+            part.join(lives);
+        }
+        self.held.extend(held.into_iter().map(|(id, number, request)| (id, (number, request))));
+        self.attempts.extend(attempts);
+        member.router.join(connections);
+        member.came += 1;
+        self.policy.join(parcel.rename(&ids));
+        self.joined = true;
+    }
+
+    /// The figures of all cores.
+    pub(super) fn figures_of_all(&self) -> (Ends, Now) {
+        let Some(member) = &self.member else { return (self.ends.clone(), self.figures()) };
+        let all = member.team().figures();
+        let mut ends = self.ends.clone();
+        let mut now = self.figures();
+        now.out_of_rotation = self.policy.avoided();
+        for figures in all.iter().enumerate().filter(|(core, _)| *core != member.me().index()).map(|of| of.1)
+        {
+            figures.ends.iter().for_each(|theirs| ends.add(theirs));
+            now.relayed += figures.now.relayed;
+            now.open += figures.now.open;
+            now.out_of_rotation += figures.now.out_of_rotation;
+        }
+        (ends, now)
+    }
+
+    /// The figures of each core, as text.
+    pub(super) fn figures_by_core(&self) -> String {
+        use std::fmt::Write;
+        let Some(member) = &self.member else { return String::new() };
+        let team = member.team();
+        let mut text = String::new();
+        let room = team.room();
+        for (core, figures) in team.figures().iter().enumerate() {
+            let of = Core(core as u8);
+            let (said, wakes) = team.mailbox(of).figures();
+            let label = format!("{{core=\"{core}\"}}");
+            let _ = writeln!(text, "svc_core_open_requests{label} {}", figures.now.open);
+            let _ = writeln!(text, "svc_core_calls_out{label} {}", figures.out);
+            let _ = writeln!(text, "svc_core_relayed{label} {}", figures.now.relayed);
+            let _ = writeln!(text, "svc_core_slots{label} {}", room.slots.lease(of));
+            let _ = writeln!(text, "svc_core_room{label} {}", room.held.lease(of));
+            let _ = writeln!(text, "svc_core_connections{label} {}", room.connections.lease(of));
+            let _ = writeln!(text, "svc_core_said_to{label} {said}\nsvc_core_woken{label} {wakes}");
+            let _ = writeln!(
+                text,
+                "svc_core_came{label} {}\nsvc_core_went{label} {}",
+                figures.moves.0, figures.moves.1
+            );
+        }
+        let (moved, stayed) = team.moves();
+        let _ = writeln!(text, "svc_destinations_moved {moved}\nsvc_destinations_stayed {stayed}");
+        text
+    }
+}
+
+/// An id that no list has.
+const UNLISTED: EndpointId = EndpointId([u8::MAX; 6]);
--- a/crates/sender/src/handover.rs
+++ b/crates/sender/src/handover.rs
@@ -176,7 +176,9 @@
                         waiting.insert(number, answer);
                         ToNew::HandedIn { number, taken: Arc::unwrap_or_clone(taken), request }
                     }
-                    Some(Inbound::Withdrawn { id, request }) => ToNew::Withdrawn { id, request },
+                    Some(Inbound::Withdrawn { id, request, destination }) => {
+                        ToNew::Withdrawn { id, request, destination }
+                    }
                     // Calls that were called off for a process that does not know of them.
                     Some(Inbound::CallOver(_)) if !understood => continue,
                     Some(Inbound::CallOver(over)) => ToNew::CallOver(over),
@@ -308,7 +310,7 @@
                 });
                 Inbound::Ops(call, answer)
             }
-            ToNew::Withdrawn { id, request } => Inbound::Withdrawn { id, request },
+            ToNew::Withdrawn { id, request, destination } => Inbound::Withdrawn { id, request, destination },
             ToNew::CallOver(over) => match self.outs.borrow_mut().ended(over) {
                 over if over.is_empty() => return,
                 over => Inbound::CallOver(over),
--- a/crates/sender/src/http/calls.rs
+++ b/crates/sender/src/http/calls.rs
@@ -166,6 +166,15 @@
         self.0.out.borrow().len()
     }
 
+    fn connections(&self) -> usize {
+        self.0.busy.get() + self.0.idle.borrow().values().map(Vec::len).sum::<usize>()
+    }
+
+    fn set_connections(&self, most: usize) {
+        self.set_most(most);
+        self.0.make_room();
+    }
+
     fn outs(&self) -> Vec<(MessageId, u16, EndpointId)> {
         let out = self.0.out.borrow();
         out.iter().map(|((message, attempt), out)| (*message, *attempt, out.endpoint)).collect()
--- a/crates/sender/src/http/intake.rs
+++ b/crates/sender/src/http/intake.rs
@@ -25,6 +25,7 @@
 use journal::Taken;
 use ops::door::Door;
 
+use crate::cores::{Post, Say};
 use crate::ports::{Answer, BODY_LIMIT, Clock, Front, HandedIn, Inbound};
 
 /// Guards the places for clients: a connection that brings no request for so long is closed.
@@ -62,6 +63,8 @@
     /// Each class's name and its longest deadline.
     classes: Vec<(Arc<str>, Micros)>,
     inbound: UnboundedSender<Inbound>,
+    /// The way to other cores, which get their part of the connections and what is theirs of the messages.
+    post: Option<Rc<Post>>,
     door: watch::Receiver<Door>,
     /// The platform's own listening socket, until it is listened on.
     inherited: Cell<Option<std::net::TcpListener>>,
@@ -75,13 +78,19 @@
 struct Withdrawal<'a> {
     id: Option<String>,
     request: u64,
-    inbound: &'a UnboundedSender<Inbound>,
+    destination: u16,
+    /// Whom the message was handed to: guards a withdrawal against overtaking its message.
+    to: Option<cores::Core>,
+    intake: &'a Intake,
 }
 
 impl Drop for Withdrawal<'_> {
     fn drop(&mut self) {
-        if let Some(id) = self.id.take() {
-            let _ = self.inbound.send(Inbound::Withdrawn { id, request: self.request });
+        let Some(id) = self.id.take() else { return };
+        let (request, destination) = (self.request, self.destination);
+        match (self.to, &self.intake.post) {
+            (Some(to), Some(post)) => post.say(to, Say::Withdrawn { id, request, destination }),
+            _ => drop(self.intake.inbound.send(Inbound::Withdrawn { id, request, destination })),
         }
     }
 }
@@ -158,6 +167,19 @@
     fn open(&self) -> usize {
         self.places.borrow().len()
     }
+
+    fn adopt(self: Rc<Self>, stream: std::net::TcpStream) {
+        match stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+            Ok(stream) => {
+                // As where it is listened: one that is idle makes way.
+                if self.open() >= self.most.get() {
+                    self.free_place();
+                }
+                self.place(stream);
+            }
+            Err(_) => self.gone(),
+        }
+    }
 }
 
 impl Intake {
@@ -168,12 +190,26 @@
         clock: Clock,
         classes: Vec<(Arc<str>, Micros)>,
         inbound: UnboundedSender<Inbound>,
+        post: Option<Rc<Post>>,
         door: watch::Receiver<Door>,
     ) -> Self {
         let (places, freed) = (RefCell::default(), Notify::new());
         let (connections, requests) = (Cell::new(0), Cell::new(0));
         let (inherited, most) = (Cell::new(inherited), Cell::new(most));
-        Self { address, most, clock, classes, inbound, door, inherited, places, freed, connections, requests }
+        Self {
+            address,
+            most,
+            clock,
+            classes,
+            inbound,
+            post,
+            door,
+            inherited,
+            places,
+            freed,
+            connections,
+            requests,
+        }
     }
 
     /// So many connections at a time, from now on; of those there are too many, idle ones are closed.
@@ -204,21 +240,70 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             };
-            let place = Rc::new(Place {
-                since: Cell::new(Instant::now()),
-                answered: Cell::new(0),
-                asking: Cell::new(false),
-                close: Notify::new(),
-                told: Cell::new(false),
-            });
-            let number = next(&self.connections);
-            self.places.borrow_mut().insert(number, place.clone());
-            let intake = self.clone();
-            tokio::task::spawn_local(async move {
-                intake.serve(stream, &place).await;
-                intake.places.borrow_mut().remove(&number);
-                intake.freed.notify_one();
-            });
+            if let Some(stream) = self.deal(stream) {
+                self.place(stream);
+            }
+        }
+    }
+
+    /// Gives a connection to the core that has the fewest, which may be this one: then it is told.
+    fn deal(&self, stream: TcpStream) -> Option<TcpStream> {
+        let Some(post) = &self.post else { return Some(stream) };
+        let to = post.team().deal();
+        if to == post.me() {
+            return Some(stream);
+        }
+        let dealt = stream.into_std().map_err(drop).and_then(|stream| {
+            // A core that takes nothing in gets no clients: they come again.
+            post.try_say(to, Say::Client(stream)).map_err(drop)
+        });
+        if dealt.is_err() {
+            post.team().client_gone(to);
+        }
+        None
+    }
+
+    /// A client's connection is gone.
+    fn gone(&self) {
+        if let Some(post) = &self.post {
+            post.team().client_gone(post.me());
+        }
+        self.freed.notify_one();
+    }
+
+    /// Serves a client's connection.
+    fn place(self: &Rc<Self>, stream: TcpStream) {
+        let place = Rc::new(Place {
+            since: Cell::new(Instant::now()),
+            answered: Cell::new(0),
+            asking: Cell::new(false),
+            close: Notify::new(),
+            told: Cell::new(false),
+        });
+        let number = next(&self.connections);
+        self.places.borrow_mut().insert(number, place.clone());
+        let intake = self.clone();
+        tokio::task::spawn_local(async move {
+            intake.serve(stream, &place).await;
+            intake.places.borrow_mut().remove(&number);
+            intake.gone();
+        });
+    }
+
+    /// Hands a message to the core that owns its destination, as the owners are now; tells which, if it is another.
+    fn hand_on(&self, message: HandedIn) -> Option<cores::Core> {
+        let other = self.post.as_ref().map(|post| (post, post.team().owner(message.taken.destination)));
+        match other.filter(|(post, owner)| *owner != post.me()) {
+            Some((post, owner)) => {
+                if let Err(Say::HandedIn(message)) = post.try_say(owner, Say::HandedIn(message)) {
+                    let _ = message.answer.send(Answer::Refused(crate::cores::BUSY_AGAIN));
+                }
+                Some(owner)
+            }
+            None => {
+                let _ = self.inbound.send(Inbound::HandedIn(message));
+                None
+            }
         }
     }
 
@@ -343,9 +428,9 @@
         let body = body.to_bytes();
         let taken = Arc::new(Taken { id: id.clone(), key, class: class_name, destination, deadline, body });
         let request = next(&self.requests);
-        let mut withdrawal = Withdrawal { id: Some(id), request, inbound: &self.inbound };
         let (answer, answered) = oneshot::channel();
-        let _ = self.inbound.send(Inbound::HandedIn(HandedIn { taken, class, request, answer }));
+        let to = self.hand_on(HandedIn { taken, class, request, answer });
+        let mut withdrawal = Withdrawal { id: Some(id), request, destination, to, intake: self };
         let answered = answered.await;
         withdrawal.id = None;
         match answered {
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod again;
 pub mod config;
+pub mod cores;
 pub mod directory;
 pub mod driver;
 pub mod handover;
@@ -21,3 +22,4 @@
 mod process;
 pub mod program;
 mod show_known;
+pub mod store;
--- a/crates/sender/src/ports.rs
+++ b/crates/sender/src/ports.rs
@@ -30,6 +30,9 @@
 
     /// Clients' connections that are open.
     fn open(&self) -> usize;
+
+    /// Serves a connection that another core took.
+    fn adopt(self: Rc<Self>, stream: std::net::TcpStream);
 }
 
 /// Makes calls to endpoints. It never decides to make one, nor to make one again.
@@ -62,6 +65,14 @@
     /// How many attempts are out.
     fn out(&self) -> usize;
 
+    /// Connections, idle ones counted.
+    fn connections(&self) -> usize {
+        0
+    }
+
+    /// So many connections at most from now on, idle ones counted.
+    fn set_connections(&self, _most: usize) {}
+
     /// The attempts that are out on connections of this process, and where.
     fn outs(&self) -> Vec<(MessageId, u16, EndpointId)>;
 }
@@ -80,6 +91,8 @@
         id: String,
         /// The request's number.
         request: u64,
+        /// Where it was to go.
+        destination: u16,
     },
     /// Attempts ended that travelled as one call.
     CallOver(Vec<AttemptOver>),
--- a/crates/sender/src/process.rs
+++ b/crates/sender/src/process.rs
@@ -2,22 +2,26 @@
 
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ::known::belief::Belief;
+use cores::{Core, Owners, Pool};
 use decision::interface::{Effect, EndpointId, MessageId, Micros};
 use decision::policy::Policy;
 use handover::State;
 use handover::step::{self, After, Found, Start};
-use journal::{Journal, OpenError};
+use journal::{Journal, OpenError, Part};
 use operators::Operators;
 use ops::door::Door;
 use ops::figures::Ends;
+use ops::held_out::HeldOut;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
 
 use crate::config::{self, Config};
-use crate::driver::{self, Ended, Parts};
+use crate::cores::{Post, Room, Team};
+use crate::driver::{self, Ended, Member, Parts};
 use crate::handover::{self as link, Before, Carried};
 use crate::http;
 use crate::http::calls::{Calls, Limits};
@@ -27,12 +31,15 @@
 use crate::link::Link;
 use crate::peers::Peers;
 use crate::ports::{Carrier, Clock, Front, Inbound};
+use crate::store::Store;
 
 /// Descriptors that are neither clients' nor endpoints'.
 const OWN_SOCKETS: usize = 32;
 /// While two processes run, each has this part of the places for clients and for endpoints: with what the old one has
 /// out, both stay within the descriptors of one.
 const PART: usize = 3;
+/// Descriptors of a core beside the first: its runtime's, and its way to the platform.
+const CORE_SOCKETS: usize = 8;
 /// The requests of the next process are counted from so far beyond those of this one.
 const REQUESTS_APART: u64 = 1 << 32;
 /// A process that starts looks so often whether the one before is gone.
@@ -132,23 +139,27 @@
 }
 
 impl Sides {
+    /// Of one of so many cores.
     fn new(
         config: &Config,
         clock: Clock,
         inherited: Option<TcpListener>,
         inbound: &UnboundedSender<Inbound>,
+        post: Option<Rc<Post>>,
+        door: watch::Sender<Door>,
     ) -> Self {
-        let own = OWN_SOCKETS + config.ops.map_or(0, |_| http::ops::CALLERS + 1);
-        let most = (config.sockets.saturating_sub(own) / 2).max(1);
+        let cores = post.as_ref().map_or(1, |post| post.team().count());
+        let most = (places(config, cores) / cores).max(1);
         let limits = Limits {
             connect: config.settings.connect_timeout.max(1),
             idle: config.settings.idle_close,
             report: config.names.report.clone(),
         };
-        let (door, seen) = watch::channel(Door::default());
+        let seen = door.subscribe();
         let longest = config.settings.classes.iter().map(|class| class.deadline);
         let classes = config.names.classes.iter().map(|name| name.as_str().into()).zip(longest).collect();
-        let intake = Intake::new((config.listen, inherited, most), clock, classes, inbound.clone(), seen);
+        let address = (config.listen, inherited, most);
+        let intake = Intake::new(address, clock, classes, inbound.clone(), post, seen);
         let calls = Calls::new(limits, most, inbound.clone());
         Self { clock, intake: Rc::new(intake), calls, door, most }
     }
@@ -162,6 +173,99 @@
     }
 }
 
+/// Places for clients, and as many for endpoints, of all cores together.
+fn places(config: &Config, cores: usize) -> usize {
+    let own = OWN_SOCKETS + config.ops.map_or(0, |_| http::ops::CALLERS + 1);
+    let own = own + if cores > 1 { cores * CORE_SOCKETS } else { 0 };
+    (config.sockets.saturating_sub(own) / 2).max(1)
+}
+
+/// What several cores share, with as many as the operators' file says; none where it says one.
+fn team(config: &Config, operators: &Operators, taken_over: bool) -> Result<Option<Arc<Team>>, String> {
+    let count = operators.cores.count as usize;
+    if count < 2 {
+        return Ok(None);
+    }
+    // Guards order: keys are not a destination's, and a destination has one core.
+    let ordered = config.settings.classes.iter().position(|class| class.in_order);
+    if let Some(name) = ordered.and_then(|at| config.names.classes.get(at)) {
+        return Err(format!(
+            "[cores] count = {count}: class {name} keeps order over all destinations; it takes count = 1"
+        ));
+    }
+    let settings = &config.settings;
+    let room = Room {
+        slots: Pool::new(settings.slots, count),
+        held: Pool::new(settings.max_open, count),
+        connections: Pool::new(places(config, count), count),
+    };
+    // What must arrive is bounded by what is out, held and open; as much again can be turned away.
+    let queue = 2 * (settings.slots * 2 + settings.max_open.min(16_384) + places(config, count)).max(1024);
+    let owners = if taken_over { Owners::all_on(count, Core(0)) } else { Owners::spread(count) };
+    Ok(Some(Team::new(owners, room, queue)))
+}
+
+/// What one core beside the first is started with.
+struct Beside {
+    core: Core,
+    team: Arc<Team>,
+    config: Config,
+    clock: Clock,
+    part: Part,
+    held_out: HeldOut,
+    door: watch::Sender<Door>,
+    waits: Vec<(String, Micros)>,
+    set_back: bool,
+    /// Its requests are counted from there.
+    requests: u64,
+}
+
+impl Beside {
+    /// Runs the core on a thread of its own. One that fails ends the process: what it had is in the journal.
+    fn start(self) -> Result<(), String> {
+        let name = format!("core-{}", self.core.0);
+        let thread = std::thread::Builder::new().name(name.clone()).spawn(move || {
+            let ran = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| self.run()));
+            if let Err(e) = ran.unwrap_or_else(|_| Err("failed, as it said above".to_owned())) {
+                eprintln!("myrtleyard: {name}: {e}");
+                std::process::exit(1);
+            }
+        });
+        thread.map(drop).map_err(|e| format!("no thread for a core: {e}"))
+    }
+
+    fn run(self) -> Result<(), String> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (inbound, mut events) = tokio::sync::mpsc::unbounded_channel();
+            let post = Rc::new(Post::new(self.core, self.team));
+            let sides =
+                Sides::new(&self.config, self.clock, None, &inbound, Some(post.clone()), self.door.clone());
+            sides.intake.count_from(self.requests);
+            let parts = Parts {
+                clock: self.clock,
+                journal: Store::Part(self.part),
+                member: Some(Member::new(post)),
+                fronts: sides.fronts(),
+                carriers: sides.carriers(),
+                peers: None,
+                door: self.door,
+                held_out: self.held_out,
+                begun: true,
+                taken_over: None,
+                before: None,
+                waits: self.waits,
+                ends: None,
+                set_back: self.set_back,
+                memory: None,
+                belief: Belief::default(),
+            };
+            driver::run(&self.config, parts, inbound, &mut events).await.map(drop)
+        })
+    }
+}
+
 /// Runs a sender until it is asked to end and has, or has handed over.
 ///
 /// # Errors
@@ -173,7 +277,7 @@
     (inbound, mut events): (UnboundedSender<Inbound>, UnboundedReceiver<Inbound>),
 ) -> Result<(), String> {
     let beside = inherited.is_some();
-    let (mut journal, told) = begin(&config, operators, beside).await?;
+    let (journal, told) = begin(&config, operators, beside).await?;
     let aim = config.settings.classes.iter().map(|class| class.aim).min().unwrap_or(0);
     let sync = operators.journal.sync == operators::Sync::Group;
     let keeping = Keeping::of(&operators.known, config.disk, sync, aim);
@@ -184,7 +288,10 @@
     if set_back {
         eprintln!("the clock was set back since the last process: how old its attempts are is not known");
     }
-    let sides = Sides::new(&config, clock, inherited, &inbound);
+    let team = team(&config, operators, told.is_some())?;
+    let post = team.clone().map(|team| Rc::new(Post::new(Core(0), team)));
+    let door = watch::Sender::new(Door::default());
+    let sides = Sides::new(&config, clock, inherited, &inbound, post.clone(), door);
     let (mut taken_over, mut before, mut waits) = (None, None, Vec::new());
     if let Some((mut other, state)) = told {
         let policy = understood(&config, &state, clock.now());
@@ -203,6 +310,32 @@
         }
     }
     let (mut begun, mut ends): (bool, Option<Ends>) = (false, None);
+    let mut journal = match &team {
+        None => Store::Whole(Box::new(journal)),
+        Some(team) => {
+            let owners = team.owners();
+            let mut parts =
+                journal.share(team.count(), |destination| owners.of(destination).index()).into_iter();
+            let first = parts.next().ok_or("no core has the journal")?;
+            for (core, part) in (1..).map(Core).zip(parts) {
+                let held_out = kept::read(&config.state);
+                let beside = Beside {
+                    core,
+                    team: team.clone(),
+                    config: config.clone(),
+                    clock,
+                    part,
+                    held_out: held_out.map_err(|e| format!("{}: {e}", config.state.display()))?,
+                    door: sides.door.clone(),
+                    waits: waits.clone(),
+                    set_back,
+                    requests: u64::from(core.0) << 40,
+                };
+                beside.start()?;
+            }
+            Store::Part(first)
+        }
+    };
     loop {
         // Who goes on after all opens it once more: another process had it meanwhile.
         if memory.is_none() {
@@ -217,7 +350,7 @@
             }
             memory
         });
-        let listening = match beside {
+        let listening = match beside && team.is_none() {
             true => {
                 Some(link::listen(&config.state, inbound.clone()).map_err(|e| format!("successor: {e}"))?)
             }
@@ -229,6 +362,7 @@
         let parts = Parts {
             clock,
             journal,
+            member: post.clone().map(Member::new),
             fronts: sides.fronts(),
             carriers,
             peers,
@@ -273,7 +407,7 @@
             }
             (After::GoOn, Err(e), Some(again)) => {
                 eprintln!("the next process did not take over, this one goes on: {e}");
-                journal = again;
+                journal = Store::Whole(Box::new(again));
                 let policy = understood(&config, &state, clock.now());
                 taken_over = Some((state, policy.ok_or("its own state can't be read")?));
                 ends = Some(so_far);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -16,7 +16,7 @@
 pub use http::{Asked, Http, Reply, Served, status};
 pub use load::{HandedIn, Heard, Load, Notices, Place, Plan};
 pub use node::{Client, Node, Program, Starting, handing_in, handing_in_with};
-pub use partner::{Effects, Mood, Partner};
+pub use partner::{Counted, Effects, Mood, Partner, Terms};
 pub use platform::{Platform, leaving, listing};
 
 /// How long anything is waited for.
