Hand over from several cores to any number, move destinations by hand, kill both at will

All cores give what they have to the first (parcels, then all else by one change of the owners), which hands over as one that was alone; the others go on as its clients' and calls' sides. POST /cores/move.

--- a/crates/cores/src/owners.rs
+++ b/crates/cores/src/owners.rs
@@ -21,6 +21,8 @@
     /// Who owns what was never moved, if that is one core; else it is spread by its number.
     rest: Option<Core>,
     moved: RedBlackTreeMapSync<u16, Core>,
+    /// Cores that gave all they had to the first, a bit each.
+    gathered: u64,
     version: u64,
 }
 
@@ -28,7 +30,7 @@
     /// Destinations are spread over so many cores by their numbers: from 1 to [`crate::MOST`].
     pub fn spread(count: usize) -> Self {
         let count = count.clamp(1, crate::MOST) as u8;
-        Self { count, rest: None, moved: RedBlackTreeMapSync::new_sync(), version: 0 }
+        Self { count, rest: None, moved: RedBlackTreeMapSync::new_sync(), gathered: 0, version: 0 }
     }
 
     /// All are one core's until they are moved: what a process that had one core leaves.
@@ -60,7 +62,29 @@
     fn home(&self, destination: u16) -> Core {
         let mixed = u32::from(destination).wrapping_mul(0x9e37_79b9);
         let place = (u64::from(mixed) * u64::from(self.count)) >> 32;
-        self.rest.unwrap_or(Core(place as u8))
+        let home = self.rest.unwrap_or(Core(place as u8));
+        if self.has_gathered(home) { Core(0) } else { home }
+    }
+
+    /// Whether a core has given all it had to the first.
+    pub fn has_gathered(&self, core: Core) -> bool {
+        self.gathered >> core.0 & 1 == 1
+    }
+
+    /// Whether the first core has all there is.
+    pub fn all_gathered(&self) -> bool {
+        (1..self.count).all(|core| self.has_gathered(Core(core)))
+    }
+
+    /// All that a core owns is the first's, also what it never heard of.
+    #[must_use]
+    pub fn gather(&self, core: Core) -> Self {
+        let gathered = self.gathered | 1 << core.0;
+        let mut next = Self { gathered, moved: self.moved.clone(), version: self.version + 1, ..*self };
+        for (destination, _) in self.moved.iter().filter(|moved| *moved.1 == core) {
+            next = next.with(*destination, Core(0));
+        }
+        next
     }
 
     /// The same but for one destination.
@@ -95,5 +119,16 @@
             assert_eq!(moved.with(7, owners.of(7)).moved(), 0, "back where it was, nothing is kept of it");
         }
         assert!((0..500).all(|d| Owners::all_on(4, Core(0)).of(d) == Core(0)));
+        let owners = Owners::spread(3).with(7, Core(1)).with(8, Core(2));
+        let gathered = owners.gather(Core(1));
+        assert!(
+            (0..500).all(|d| gathered.of(d) == if owners.of(d) == Core(1) { Core(0) } else { owners.of(d) })
+        );
+        assert!(!gathered.all_gathered() && gathered.gather(Core(2)).all_gathered());
+        let back = gathered.gather(Core(2)).with(7, Core(2));
+        assert!(
+            (0..500).all(|d| back.of(d) == Core(if d == 7 { 2 } else { 0 })),
+            "what is moved later is moved"
+        );
     }
 }
--- a/crates/cores/src/pool.rs
+++ b/crates/cores/src/pool.rs
@@ -30,18 +30,16 @@
 }
 
 impl Pool {
-    /// So much for so many cores; each is given one to begin with, as far as there is. A piece is a sixteenth of an even
-    /// part, one at least.
+    /// So much for so many cores, none of which has any yet. A piece is a sixteenth of an even part, one at least.
     pub fn new(whole: usize, cores: usize) -> Self {
         let cores = cores.max(1);
-        let first = |core| usize::from(core < whole);
-        let leased = (0..cores).map(first).collect();
+        let none = vec![0; cores];
         Self {
             whole,
             piece: (whole / cores / 16).max(1),
-            leased,
-            used: vec![0; cores],
-            wants: vec![0; cores],
+            leased: none.clone(),
+            used: none.clone(),
+            wants: none,
         }
     }
 
@@ -50,6 +48,12 @@
         self.whole
     }
 
+    /// There is so much from now on, if that is more.
+    pub fn grow(&mut self, whole: usize) {
+        self.whole = self.whole.max(whole);
+        self.piece = (self.whole / self.leased.len() / 16).max(1);
+    }
+
     /// What no core has.
     pub fn free(&self) -> usize {
         self.whole - self.leased.iter().sum::<usize>()
@@ -86,8 +90,7 @@
         let keep = if yields { used.max(need.min(even)) } else { need };
         let spare = if self.another_lacks(at, false) { 0 } else { self.piece };
         let most = keep.saturating_add(spare).min(self.whole);
-        // The one that it began with it keeps: a core that can begin nothing would never learn that it needs more.
-        self.leased[at] = self.leased[at].min(most.max(used).max(usize::from(at < self.whole)));
+        self.leased[at] = self.leased[at].min(most.max(used));
         if !yields {
             let more = most.saturating_sub(self.leased[at]).min(self.free());
             let beyond = self.leased[at] + more > even && self.another_lacks(at, true);
@@ -98,7 +101,7 @@
         let (short, freed) = (self.lacks(at) > 0, self.free() > free_before);
         let others = (0..self.leased.len()).filter(|other| *other != at);
         let concerned = others.filter(|other| {
-            let idle = self.leased[*other] > self.used[*other].max(1);
+            let idle = self.leased[*other] > self.used[*other];
             (freed && self.lacks(*other) > 0) || (short && self.free() == 0 && idle)
         });
         let concerned = concerned.map(|other| Core(other as u8)).collect();
--- a/crates/cores/src/router.rs
+++ b/crates/cores/src/router.rs
@@ -68,6 +68,11 @@
         self.guests.extend(attempts.into_iter().filter(|(_, core)| *core != me));
     }
 
+    /// Whether it knows where an attempt's connection is.
+    pub fn knows(&self, attempt: Attempt) -> bool {
+        self.begun.contains_key(&attempt) || self.guests.contains_key(&attempt)
+    }
+
     /// Attempts that this core's module holds on connections of others.
     pub fn guests(&self) -> usize {
         self.guests.len()
--- a/crates/decision/src/calls.rs
+++ b/crates/decision/src/calls.rs
@@ -121,6 +121,12 @@
         Some(Ended { number, call, key, first, done })
     }
 
+    /// Attempts that are out, and where.
+    pub fn out(&self) -> impl Iterator<Item = (MessageId, u16, EndpointId)> {
+        let endpoint = |call: &u64| self.calls.get(call).map(|call| call.endpoint);
+        self.attempts.iter().filter_map(move |(of, (call, _))| Some((of.0, of.1, endpoint(call)?)))
+    }
+
     /// Those of which nothing was heard yet: their routes, and when they were sent.
     pub fn unheard(&self) -> impl Iterator<Item = (RouteId, Micros)> {
         self.calls.values().filter(|call| !call.judged).map(|call| (call.route, call.sent))
--- a/crates/decision/src/policy/moving.rs
+++ b/crates/decision/src/policy/moving.rs
@@ -146,6 +146,11 @@
         self.reminder = None;
     }
 
+    /// Attempts that are out, and where.
+    pub fn out(&self) -> Vec<(MessageId, u16, EndpointId)> {
+        self.calls.out().collect()
+    }
+
     /// Calls that are out.
     pub fn calls_out(&self) -> usize {
         self.calls.len()
--- a/crates/decision/src/policy/takeover.rs
+++ b/crates/decision/src/policy/takeover.rs
@@ -39,6 +39,7 @@
     ) -> Result<Self, NotUnderstood> {
         let mut policy: Self = rmp_serde::from_slice(state).map_err(NotUnderstood)?;
         policy.routes.settle_under(&settings);
+        policy.waking.settle(settings.dormant.map(|dormant| dormant.wakes), settings.slots / 2);
         policy.settings = settings;
         policy.rng = fastrand::Rng::with_seed(seed);
         policy.now = policy.now.max(now);
--- a/crates/dormant/src/waking.rs
+++ b/crates/dormant/src/waking.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// So many a second, and so many out at once, from now on.
+    pub fn settle(&mut self, rate: Option<f64>, most_out: usize) {
+        (self.rate, self.most_out) = (rate, most_out.max(1));
+    }
+
     /// Whether it may make its first call now. If not it stands in line with what it is worth, from 0 on.
     pub fn allows(&mut self, key: K, worth: f64, now: Micros) -> bool {
         if self.rate.is_none() {
--- a/crates/journal/src/shared.rs
+++ b/crates/journal/src/shared.rs
@@ -109,6 +109,16 @@
         }
     }
 
+    /// Numbers begin there, if they would begin before.
+    pub fn count_from(&mut self, first: u32) {
+        self.shared.next.fetch_max(first.into(), Ordering::Relaxed);
+    }
+
+    /// No number from there on was ever given, until they begin anew.
+    pub fn next_number(&self) -> u32 {
+        (self.shared.next.load(Ordering::Relaxed) % (1 << 32)) as u32
+    }
+
     /// As [`Journal::append`], of this core's turn. It may be written together with those of others.
     ///
     /// # Errors
--- a/crates/ops/src/call.rs
+++ b/crates/ops/src/call.rs
@@ -20,6 +20,13 @@
     Standby,
     /// Take clients again.
     Active,
+    /// A destination is to go to another core.
+    Move {
+        /// The destination.
+        destination: u16,
+        /// The core, from 0.
+        core: u8,
+    },
 }
 
 /// Why a request is no call.
@@ -29,6 +36,8 @@
     Path,
     /// The path is there, for `GET` or `POST` alone: use the other.
     Method,
+    /// The call needs a destination and a core.
+    Cores,
     /// The call needs one `target=ID` in its query, with an id of [`ID_LIMIT`] bytes at most.
     Target,
 }
@@ -39,7 +48,7 @@
         match self {
             Self::Path => 404,
             Self::Method => 405,
-            Self::Target => 400,
+            Self::Target | Self::Cores => 400,
         }
     }
 
@@ -48,6 +57,7 @@
         match self {
             Self::Path => "no such call\n",
             Self::Method => "/status and /status/metrics are asked with GET, all else with POST\n",
+            Self::Cores => "name a destination and a core by their numbers, as destination=7&core=2\n",
             Self::Target => "name one endpoint, as target=ID\n",
         }
     }
@@ -59,7 +69,8 @@
 /// Fails, with what to tell the caller, when it is none of the calls.
 pub fn read(method: &str, path: &str, query: Option<&str>) -> Result<Call, NoCall> {
     let asks = ["/status", "/status/metrics"].contains(&path);
-    let does = ["/maintenance/enter", "/maintenance/exit", "/standby", "/active"].contains(&path);
+    let does =
+        ["/maintenance/enter", "/maintenance/exit", "/standby", "/active", "/cores/move"].contains(&path);
     match (asks, does, method) {
         (false, false, _) => return Err(NoCall::Path),
         (true, _, "GET") | (_, true, "POST") => {}
@@ -70,11 +81,23 @@
         "/status/metrics" => Call::Metrics,
         "/standby" => Call::Standby,
         "/active" => Call::Active,
+        "/cores/move" => Call::Move {
+            destination: number(query, "destination").ok_or(NoCall::Cores)?,
+            core: number(query, "core").ok_or(NoCall::Cores)?,
+        },
         "/maintenance/enter" => Call::HoldOut(target(query)?),
         _ => Call::PutBack(target(query)?),
     })
 }
 
+/// The one value of a name, as a number.
+fn number<T: std::str::FromStr>(query: Option<&str>, name: &str) -> Option<T> {
+    let pairs = form_urlencoded::parse(query.unwrap_or_default().as_bytes());
+    let mut values = pairs.filter(|(key, _)| key == name).map(|(_, value)| value);
+    let value = values.next().filter(|value| value.bytes().all(|b| b.is_ascii_digit()))?;
+    if values.next().is_some() { None } else { value.parse().ok() }
+}
+
 fn target(query: Option<&str>) -> Result<String, NoCall> {
     let mut targets =
         form_urlencoded::parse(query.unwrap_or_default().as_bytes()).filter(|(name, _)| name == "target");
--- a/crates/rig/src/known_cost.rs
+++ b/crates/rig/src/known_cost.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use decision::interface::Learnt;
+use journal::Journal;
 use journal::disk::Folder;
 use known::stamp::Stamp;
 use known::store::{Options as Keep, Source, Store};
@@ -12,7 +13,7 @@
 use standins::Platform;
 
 use crate::scenario::{Options, Scenario, program};
-use crate::stream::Times;
+use crate::stream::{Stream, Times};
 use crate::throughput::{load, node, partners};
 
 /// The scenario.
@@ -86,6 +87,65 @@
     Ok((Times::new(times), store.written()))
 }
 
+/// Times of a turn's append, and of compaction's slice behind it, while what is known is written beside the journal or not.
+fn appends(known: bool, seed: u64, turns: u64) -> Result<(Times, Times), String> {
+    let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
+    let kept = journal::Options { limit: 3_000_000, ..journal::Options::default() };
+    let (mut journal, _) = Journal::open(folder.path(), kept, 1).map_err(|e| e.to_string())?;
+    let options = Keep { size: 375_000, sync: false };
+    let disk = Box::new(Folder::beside(folder.path()));
+    let mut store = Store::open(disk, "n1", options).map_err(|e| e.to_string())?.0;
+    let world = World { count: 60, now: RefCell::new(START) };
+    let (mut stream, mut records) = (Stream::new(seed, 200), Vec::new());
+    let (mut append, mut pause) = (Vec::new(), Vec::new());
+    for turn in 0..turns {
+        let now = START + turn * 5_000;
+        *world.now.borrow_mut() = now;
+        stream.turn(&mut records);
+        let began = Instant::now();
+        journal.append(now, &mut records).map_err(|e| e.to_string())?;
+        append.push(began.elapsed());
+        let began = Instant::now();
+        journal.tidy(now).map_err(|e| e.to_string())?;
+        pause.push(began.elapsed());
+        if known {
+            (0..10).for_each(|n| store.touched(((turn * 37 + n * 11) % 60) as u16, now));
+            let room = journal.room_beside();
+            store.slice(&Stamp { wall: now, boot: None }, room, &world).map_err(|e| e.to_string())?;
+            journal.set_beside(store.used());
+        }
+    }
+    Ok((Times::new(append), Times::new(pause)))
+}
+
+/// Appends and compaction's slices with and without, by turns; fails where half of them, or nearly all, take more.
+fn journal_cost(seed: u64, pairs: usize, turns: u64) -> Result<String, String> {
+    let (mut halves, mut nearly) = ([vec![], vec![]], [vec![], vec![]]);
+    for pair in 0..pairs {
+        let mut times: [Option<(Times, Times)>; 2] = [None, None];
+        for known in [pair % 2 == 0, pair % 2 == 1] {
+            times[usize::from(known)] = Some(appends(known, seed, turns)?);
+        }
+        let [Some(without), Some(with)] = times else { return Err("a pair lacks one".into()) };
+        let ratio = |with: &Times, without: &Times, share| {
+            with.at(share).as_secs_f64() / without.at(share).as_secs_f64().max(1e-9)
+        };
+        for (n, (with, without)) in [(&with.0, &without.0), (&with.1, &without.1)].into_iter().enumerate() {
+            halves[n].push(ratio(with, without, 0.5));
+            nearly[n].push(ratio(with, without, 0.99));
+        }
+    }
+    let middle = |ratios: &mut Vec<f64>| {
+        ratios.sort_by(f64::total_cmp);
+        ratios[ratios.len() / 2]
+    };
+    let [append, pause] = halves.each_mut().map(middle);
+    let [append_99, pause_99] = nearly.each_mut().map(middle);
+    Ok(format!(
+        "append {append:.3} times at half and {append_99:.3} at 99%, compaction's slice {pause:.3} and {pause_99:.3}, {pairs} pairs"
+    ))
+}
+
 fn run(options: &Options) -> Result<String, String> {
     let turns = if options.short { 500 } else { 20_000 };
     for count in [30, 1_000, 20_000] {
@@ -100,6 +160,8 @@
             return Err(format!("with {count} destinations a slice takes {:?} at 99%", times.at(0.99)));
         }
     }
+    let (few, turns) = if options.short { (1, 500) } else { (11, 20_000) };
+    println!("beside a journal of 3 MB: {}", journal_cost(options.seed(), few, turns)?);
     let time = Duration::from_millis(if options.short { 300 } else { 2_000 });
     let pairs = if options.short { 1 } else { 21 };
     let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -32,6 +32,7 @@
     compaction_kills::SCENARIO,
     throughput::SCENARIO,
     upgrade_kills::SCENARIO,
+    upgrade_kills::CORES,
 ];
 
 /// Runs a measurement or a fault run by its name; `list` names them all.
--- /dev/null
+++ b/crates/sender/src/cores/elsewhere.rs
@@ -0,0 +1,133 @@
+//! What other cores still have for a process that has handed over: their clients, and calls on their connections.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use cores::Core;
+use decision::interface::{EndpointId, Event, MessageId, Micros};
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::post::{Post, Say};
+use crate::ports::{Carrier, Front, Inbound, Pace, Part};
+
+/// The other cores, as a front and a carrier of the first. They own nothing any more: what comes to them is said to the
+/// first, as ever.
+pub struct Elsewhere {
+    post: Rc<Post>,
+    outs: RefCell<BTreeMap<(MessageId, u16), (Core, EndpointId)>>,
+    /// Endpoints by their names, as the process that took over was told.
+    ids: HashMap<String, EndpointId>,
+}
+
+impl Elsewhere {
+    /// These attempts are out on connections of others.
+    pub fn new(
+        post: Rc<Post>,
+        outs: BTreeMap<(MessageId, u16), (Core, EndpointId)>,
+        ids: &[(String, EndpointId)],
+    ) -> Self {
+        Self { post, outs: RefCell::new(outs), ids: ids.iter().cloned().collect() }
+    }
+
+    /// Passes on what the other cores say, until the process ends.
+    pub fn follow(self: Rc<Self>, inbound: UnboundedSender<Inbound>) {
+        tokio::task::spawn_local(async move {
+            let mailbox = self.post.team().mailbox(self.post.me());
+            loop {
+                for say in mailbox.drain() {
+                    if let Some(said) = self.heard(say) {
+                        let _ = inbound.send(said);
+                    }
+                }
+                self.post.flush();
+                mailbox.woken().await;
+            }
+        });
+    }
+
+    fn heard(&self, say: Say) -> Option<Inbound> {
+        let id = |name: &str| self.ids.get(name).copied();
+        Some(match say {
+            Say::HandedIn(message) => Inbound::HandedIn(message),
+            Say::Withdrawn { id, request, destination } => Inbound::Withdrawn { id, request, destination },
+            Say::Ended { name, mut over, .. } => {
+                let known = self.outs.borrow_mut().remove(&(over.message, over.attempt));
+                over.endpoint = known.map(|known| known.1).or_else(|| id(&name)).unwrap_or(over.endpoint);
+                Inbound::CallOver(vec![over])
+            }
+            Say::Wait { name, wait, .. } => Inbound::Event(Event::Wait { endpoint: id(&name)?, wait }),
+            _ => return None,
+        })
+    }
+}
+
+impl Front for Elsewhere {
+    fn begin(self: Rc<Self>) -> io::Result<SocketAddr> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+
+    fn requests(&self) -> u64 {
+        0
+    }
+
+    fn open(&self) -> usize {
+        self.post.team().clients_of_others(self.post.me())
+    }
+
+    fn set_places(&self, most: usize) {
+        let team = self.post.team();
+        let others = team.all().filter(|core| *core != self.post.me());
+        others.for_each(|core| self.post.say(core, Say::Places(most)));
+    }
+
+    /// It has no connections of its own: the client finds it closed, and comes again.
+    fn adopt(self: Rc<Self>, stream: std::net::TcpStream) {
+        drop(stream);
+    }
+}
+
+impl Carrier for Elsewhere {
+    fn place(&self, _: EndpointId, _: &str) -> bool {
+        false
+    }
+
+    fn address(&self, _: EndpointId) -> Option<String> {
+        None
+    }
+
+    fn forget(&self, _: EndpointId) {}
+
+    /// Nothing is placed here, so that nothing is started here.
+    fn start(&self, _: EndpointId, _: Vec<Part>, _: Micros, _: Pace) {}
+
+    fn cancel(&self, message: MessageId, attempt: u16) {
+        if let Some((core, _)) = self.outs.borrow().get(&(message, attempt)) {
+            self.post.say(*core, Say::Cancel(message, attempt));
+        }
+    }
+
+    fn probe(&self, _: EndpointId) {}
+
+    fn close_idle(&self, _: EndpointId) {}
+
+    fn written(&self) -> u64 {
+        let figures = self.post.team().figures();
+        let others = figures.iter().enumerate().filter(|(core, _)| *core != self.post.me().index());
+        others.map(|(_, figures)| figures.now.relayed).sum()
+    }
+
+    fn out(&self) -> usize {
+        self.outs.borrow().len()
+    }
+
+    fn outs(&self) -> Vec<(MessageId, u16, EndpointId)> {
+        self.outs
+            .borrow()
+            .iter()
+            .map(|((message, attempt), (_, endpoint))| (*message, *attempt, *endpoint))
+            .collect()
+    }
+}
--- a/crates/sender/src/cores/post.rs
+++ b/crates/sender/src/cores/post.rs
@@ -75,6 +75,10 @@
         /// Where to.
         to: Core,
     },
+    /// All that this core has is to go to the first.
+    Gather,
+    /// So many places for clients from now on.
+    Places(usize),
     /// An attempt on this core's connection is to be called off.
     Cancel(MessageId, u16),
     /// Discovery told that.
--- a/crates/sender/src/cores/team.rs
+++ b/crates/sender/src/cores/team.rs
@@ -97,6 +97,17 @@
         self.moves.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// All that a core owned is the first's: to be called behind the parcels, and by the core alone.
+    pub fn has_gathered(&self, core: Core) {
+        self.owners.rcu(|owners| owners.gather(core));
+    }
+
+    /// Clients' connections of all cores but one.
+    pub fn clients_of_others(&self, core: Core) -> usize {
+        let others = self.clients.iter().enumerate().filter(|(other, _)| *other != core.index());
+        others.map(|(_, clients)| clients.load(Ordering::Relaxed)).sum()
+    }
+
     /// A move that was asked for did not come about.
     pub fn stayed(&self) {
         self.failed.fetch_add(1, Ordering::Relaxed);
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -21,6 +21,7 @@
 
 use crate::again::Again;
 use crate::config::{self, Config};
+use crate::cores::Elsewhere;
 use crate::directory::{Directory, SLICE};
 use crate::handover::Before;
 use crate::http;
@@ -158,6 +159,16 @@
     pub belief: Belief,
 }
 
+/// What is left of the first of several cores once all is handed over: for going on after all, and for what the others have.
+pub struct Left {
+    /// As it was.
+    pub member: Member,
+    /// Its part of the journal, which is closed.
+    pub part: journal::Part,
+    /// The other cores' clients and calls.
+    pub elsewhere: Rc<Elsewhere>,
+}
+
 /// How the sender ended.
 pub enum Ended {
     /// It was asked to, and has nothing left to do that the next process can't.
@@ -172,6 +183,8 @@
         ends: Ends,
         /// Notes to other senders, which the other process is to have.
         peers: Option<Peers>,
+        /// What is left of one of several cores.
+        member: Option<Left>,
     },
 }
 
@@ -326,8 +339,16 @@
             match driver.state(fronts.iter().map(|front| front.requests()).max().unwrap_or(0)) {
                 Ok(state) => {
                     watch.iter().for_each(tokio::task::JoinHandle::abort);
+                    let left = match (driver.member, driver.journal) {
+                        (Some(member), Store::Part(mut part)) => {
+                            part.close();
+                            let elsewhere = Rc::new(member.elsewhere(&state.out, &state.ids));
+                            Some(Left { member, part, elsewhere })
+                        }
+                        _ => None,
+                    };
                     let (state, ends, peers) = (Box::new(state), driver.ends, driver.peers);
-                    return Ok(Ended::HandsOver { successor, state, ends, peers });
+                    return Ok(Ended::HandsOver { successor, state, ends, peers, member: left });
                 }
                 Err(e) => eprintln!("the state can't be handed over: {e}"),
             }
@@ -347,7 +368,10 @@
             Inbound::Withdrawn { id, request, .. } => self.withdrawn(&id, request, said),
             Inbound::CallOver(ends) => ends.into_iter().for_each(|end| said.push(self.ended(end))),
             Inbound::Event(event) => said.push(event),
-            Inbound::Successor(link) => self.successor = Some(link),
+            Inbound::Successor(link) => {
+                self.gather_all();
+                self.successor = Some(link);
+            }
             Inbound::Listed(Listed(list)) if self.directory.wants_slices(&list) => {
                 if self.directory.put_off(list).is_err() {
                     eprintln!("the list changes faster than it can be taken in: it is asked for as a whole");
--- a/crates/sender/src/driver/begin.rs
+++ b/crates/sender/src/driver/begin.rs
@@ -11,13 +11,24 @@
 use super::{Driver, message};
 use crate::known::first_list;
 use crate::list::ListBody;
+use crate::store::Store;
 
 impl Driver {
     /// What another process knew, with what is in the journal that it gave up.
     pub(super) fn go_on(&mut self, state: State) -> Vec<Event> {
-        let State { endpoints, ids, given, index, held, next_message, attempts, .. } = state;
+        let State { endpoints, ids, given, index, held, next_message, attempts, out, .. } = state;
         self.directory.restore(endpoints, ids, given);
         (self.index, self.next_message) = (index, next_message);
+        if let Store::Part(part) = &mut self.journal {
+            part.count_from(next_message);
+        }
+        for (message, attempt, endpoint) in out {
+            if let (Some(member), Some(destination)) =
+                (&mut self.member, self.directory.destination(endpoint))
+            {
+                member.began_before((message.0, attempt), destination, endpoint);
+            }
+        }
         self.attempts = attempts.into_iter().collect();
         let requests: HashMap<u32, u64> =
             held.iter().map(|(_, number, request)| (*number, *request)).collect();
@@ -48,7 +59,7 @@
     pub(super) fn may_hand_over(&self) -> bool {
         let written = self.unwritten.is_empty() && self.unsaid.is_empty() && self.fresh.is_empty();
         let alone = self.before.as_ref().is_none_or(|before| before.is_gone());
-        written && alone && !self.directory.is_behind()
+        written && alone && !self.directory.is_behind() && self.has_all()
     }
 
     /// All that the journal does not hold.
@@ -56,6 +67,14 @@
         let (endpoints, ids, given) = self.directory.save();
         let held = self.held.iter().map(|(id, (number, request))| (id.clone(), *number, *request));
         let waits = self.policy.waits().into_iter();
+        let (next_message, out) = match &self.journal {
+            Store::Whole(_) => {
+                let outs = self.directory.carriers().iter().flat_map(|carrier| carrier.outs()).collect();
+                (self.next_message, outs)
+            }
+            // Those on connections of other cores too.
+            Store::Part(part) => (part.next_number(), self.policy.out()),
+        };
         let standby = match *self.door.borrow() {
             Door::Standby(since) => Some(since),
             _ => None,
@@ -70,9 +89,9 @@
             index: self.index,
             held: held.collect(),
             attempts: self.attempts.iter().map(|(number, count)| (*number, *count)).collect(),
-            next_message: self.next_message,
+            next_message,
             requests,
-            out: self.directory.carriers().iter().flat_map(|carrier| carrier.outs()).collect(),
+            out,
             waits: waits.map(|(id, until)| (self.directory.name(id).to_string(), until)).collect(),
             standby,
         })
--- a/crates/sender/src/driver/duty.rs
+++ b/crates/sender/src/driver/duty.rs
@@ -34,6 +34,7 @@
                 self.door.send_replace(door.active());
                 done()
             }
+            Call::Move { destination, core } => self.asked_to_move(destination, core),
             Call::HoldOut(ref name) | Call::PutBack(ref name) => {
                 let out = matches!(call, Call::HoldOut(_));
                 let held_out = match self.directory.would_hold_out(name, out) {
--- a/crates/sender/src/driver/team.rs
+++ b/crates/sender/src/driver/team.rs
@@ -1,6 +1,6 @@
 //! One of several cores: what it hears from the others and says to them, what it may use, and destinations that come and go.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,8 +14,9 @@
 use tokio::sync::oneshot;
 
 use super::Driver;
-use crate::cores::{BUSY_AGAIN, Bundle, Figures, Post, Say, Team};
+use crate::cores::{BUSY_AGAIN, Bundle, Elsewhere, Figures, Post, Say, Team};
 use crate::ports::{Answer, Front, Inbound, Told};
+use crate::store::Store;
 
 /// A destination that can't go for so long stays.
 const DEPART_WITHIN: Micros = 1_000_000;
@@ -44,6 +45,8 @@
     connections: usize,
     work: HashMap<u16, u32>,
     departing: Option<Departing>,
+    /// All that it has is to go to the first core.
+    gathers: bool,
     /// Figures are shown again then.
     show_at: Micros,
     came: u64,
@@ -67,6 +70,7 @@
             connections: 0,
             work: HashMap::new(),
             departing: None,
+            gathers: false,
             show_at: 0,
             came: 0,
             went: 0,
@@ -103,9 +107,37 @@
         *self.work.entry(destination).or_default() += 1;
     }
 
+    fn to_depart(&mut self, destination: u16, to: Core, now: Micros) {
+        let until = now + DEPART_WITHIN;
+        if self.departing.replace(Departing { destination, to, until }).is_some() {
+            self.team().stayed();
+        }
+    }
+
+    /// Attempts that were begun by an earlier process, on connections that it has.
+    pub(super) fn began_before(&mut self, attempt: (u32, u16), destination: u16, endpoint: EndpointId) {
+        // One that goes on after all knows its own.
+        if !self.router.knows(attempt) {
+            self.router.begins(attempt, destination, endpoint);
+        }
+    }
+
+    /// What is out on connections of other cores.
+    pub(super) fn elsewhere(
+        &self,
+        out: &[(MessageId, u16, EndpointId)],
+        ids: &[(String, EndpointId)],
+    ) -> Elsewhere {
+        let on = |(message, attempt, endpoint): &(MessageId, u16, EndpointId)| {
+            let core = self.router.connection((message.0, *attempt));
+            (core != self.me()).then_some(((*message, *attempt), (core, *endpoint)))
+        };
+        Elsewhere::new(self.post.clone(), out.iter().filter_map(on).collect(), ids)
+    }
+
     /// Whether it is to be looked at soon though nothing happens.
     fn is_watchful(&self) -> bool {
-        self.departing.is_some() || self.post.is_behind()
+        self.departing.is_some() || self.gathers || self.post.is_behind()
     }
 
     /// When it is to be looked at, though nothing happens.
@@ -170,10 +202,13 @@
             }
             Say::Wait { destination, name, wait } => said.push(self.wait(destination, &name, wait)),
             Say::Parcel(bundle) => self.join(*bundle),
-            Say::Depart { destination, to } => {
-                let until = self.clock.now() + DEPART_WITHIN;
-                if member.departing.replace(Departing { destination, to, until }).is_some() {
-                    member.team().stayed();
+            Say::Depart { destination, to } => member.to_depart(destination, to, self.clock.now()),
+            Say::Gather => member.gathers = true,
+            Say::Places(most) => {
+                fronts.iter().for_each(|front| front.set_places(most));
+                if member.owners.all_gathered() {
+                    // Another process calls from now on: what stands idle is closed.
+                    self.directory.carriers().iter().for_each(|carrier| carrier.set_connections(0));
                 }
             }
             Say::Cancel(message, attempt) => {
@@ -419,11 +454,7 @@
                 member.stuck = false;
                 let say = Say::Depart { destination: advised.destination, to: advised.to };
                 if advised.from == member.post.me() {
-                    let until = now + DEPART_WITHIN;
-                    let (destination, to) = (advised.destination, advised.to);
-                    if member.departing.replace(Departing { destination, to, until }).is_some() {
-                        member.post.team().stayed();
-                    }
+                    member.to_depart(advised.destination, advised.to, now);
                 } else {
                     member.post.say(advised.from, say);
                 }
@@ -441,38 +472,95 @@
         }
     }
 
-    /// Parts with a destination that was told to go, as soon as it can be.
+    /// On-call staff want a destination on another core.
+    pub(super) fn asked_to_move(&mut self, destination: u16, core: u8) -> Told {
+        let told = |status, text: &str| Told { status, text: text.to_owned() };
+        let to = Core(core);
+        let Some(member) = &mut self.member else { return told(409, "there is one core\n") };
+        if to.index() >= member.team().count() {
+            return told(404, "there is no such core\n");
+        }
+        let from = member.team().owner(destination);
+        if from == to {
+            return told(200, "it is there\n");
+        }
+        if from == member.me() {
+            member.to_depart(destination, to, self.clock.now());
+        } else {
+            member.post.say(from, Say::Depart { destination, to });
+        }
+        told(202, "it is told to go; the figures say when it has\n")
+    }
+
+    /// Parts with what was told to go, as soon as it can be.
     fn depart(&mut self, now: Micros) {
         let Some(member) = &mut self.member else { return };
-        let Some(Departing { destination, to, until }) = member.departing.take() else { return };
-        let to_itself = to == member.me() || to.index() >= member.team().count();
-        if to_itself || !member.is_mine(destination) || self.stop_at.is_some() {
-            return member.team().stayed();
+        if let Some(Departing { destination, to, until }) = member.departing.take() {
+            let to_itself = to == member.me() || to.index() >= member.team().count();
+            if to_itself || !member.is_mine(destination) || self.stop_at.is_some() {
+                member.team().stayed();
+            } else if !self.goes(destination, to) {
+                let Some(member) = &mut self.member else { return };
+                if now < until {
+                    member.departing = Some(Departing { destination, to, until });
+                } else {
+                    eprintln!("destination {destination} stays: something of it is not written or said yet");
+                    member.team().stayed();
+                }
+            }
+        }
+        self.gather();
+    }
+
+    /// Gives all that this core has to the first, which is to hand over: what it knows first, and then what it never heard
+    /// of, by one change of the owners.
+    fn gather(&mut self) {
+        let Some(member) = self.member.as_ref().filter(|member| member.gathers) else { return };
+        let owners = member.team().owners();
+        let of_module = self.policy.known_destinations().into_iter().map(|destination| destination.0);
+        let held = self.journal.live().values().map(|live| live.taken.destination);
+        let all: BTreeSet<u16> = of_module.chain(held).filter(|d| owners.of(*d) == member.me()).collect();
+        if all.into_iter().all(|destination| self.goes(destination, Core(0)))
+            && let Some(member) = &mut self.member
+        {
+            member.gathers = false;
+            member.team().has_gathered(member.me());
+            eprintln!("core {} has given all it had to core 0", member.me().0);
         }
+    }
+
+    /// Whether all that other cores had is here, so that another process can be told.
+    pub(super) fn has_all(&self) -> bool {
+        self.member.as_ref().is_none_or(|member| member.owners.all_gathered() && member.departing.is_none())
+    }
+
+    /// The others are to give this core all that they have.
+    pub(super) fn gather_all(&mut self) {
+        let Some(member) = &self.member else { return };
+        member.others().for_each(|core| member.post.say(core, Say::Gather));
+    }
+
+    /// Parts with a destination, if that can be now.
+    fn goes(&mut self, destination: u16, to: Core) -> bool {
         // Guards what is written or said half: a message that was given up stays until its notice is kept.
         let given_up =
             |live: &journal::Live| live.taken.destination == destination && live.given_up.is_some();
         let written = self.unwritten.is_empty() && self.fresh.is_empty() && self.unsaid.is_empty();
-        let ready = written && !self.directory.is_behind() && !self.journal.live().values().any(given_up);
-        if !ready {
-            if now < until {
-                member.departing = Some(Departing { destination, to, until });
-            } else {
-                member.team().stayed();
-            }
-            return;
+        if !written || self.directory.is_behind() || self.journal.live().values().any(given_up) {
+            return false;
         }
+        let Some(member) = &mut self.member else { return false };
         let parcel = match self.policy.part(DestinationId(destination)) {
             Ok(parcel) => parcel,
             Err(stays) => {
                 eprintln!("destination {destination} stays: {stays}");
-                return member.team().stayed();
+                return false;
             }
         };
         let names = parcel.endpoints().into_iter().map(|id| (id, self.directory.name(id))).collect();
         let numbers: Vec<u32> = parcel.messages().map(|message| message.0).collect();
         let mut lives = Vec::new();
-        if let crate::store::Store::Part(part) = &mut self.journal {
+        if let Store::Part(part) = &mut self.journal {
             lives = part.part(numbers.iter().copied());
         }
         let mut held = Vec::new();
@@ -483,36 +571,35 @@
         }
         let attempts = numbers.iter().filter_map(|n| Some((*n, self.attempts.remove(n)?))).collect();
         let connections = member.router.part(parcel.out().map(|(message, attempt, _)| (message.0, attempt)));
+        let (calls, messages) = (parcel.calls(), numbers.len());
         {
             let mut room = member.team().room();
-            room.slots.hand(member.me(), to, parcel.calls());
-            room.held.hand(member.me(), to, numbers.len());
+            room.slots.hand(member.me(), to, calls);
+            room.held.hand(member.me(), to, messages);
         }
-        eprintln!(
-            "core {} hands destination {destination} to core {}: {} messages, {} calls out",
-            member.me().0,
-            to.0,
-            numbers.len(),
-            parcel.calls()
-        );
-        let (calls, messages) = (parcel.calls(), numbers.len());
         let bundle = Bundle { parcel, names, lives, held, attempts, connections };
         match member.post.say_now(to, Say::Parcel(Box::new(bundle))) {
             // Behind the parcel: whoever reads the new owner finds the parcel there.
             Ok(()) => {
                 member.went += 1;
+                member.show_at = 0;
                 member.team().has_gone(destination, to);
+                let me = member.me().0;
+                eprintln!(
+                    "core {me} hands destination {destination} to core {}: {messages} messages, {calls} calls out",
+                    to.0
+                );
+                true
             }
             Err(Say::Parcel(bundle)) => {
-                eprintln!("destination {destination} stays: core {} takes nothing in", to.0);
                 let mut room = member.team().room();
                 room.slots.hand(to, member.me(), calls);
                 room.held.hand(to, member.me(), messages);
                 drop(room);
-                member.team().stayed();
                 self.join(*bundle);
+                false
             }
-            Err(_) => {}
+            Err(_) => false,
         }
     }
 
@@ -532,13 +619,14 @@
             };
             ids.insert(id, ours);
         }
-        if let crate::store::Store::Part(part) = &mut self.journal {
+        if let Store::Part(part) = &mut self.journal {
             part.join(lives);
         }
         self.held.extend(held.into_iter().map(|(id, number, request)| (id, (number, request))));
         self.attempts.extend(attempts);
         member.router.join(connections);
         member.came += 1;
+        member.show_at = 0;
         self.policy.join(parcel.rename(&ids));
         self.joined = true;
     }
--- a/crates/sender/src/http/intake.rs
+++ b/crates/sender/src/http/intake.rs
@@ -168,6 +168,10 @@
         self.places.borrow().len()
     }
 
+    fn set_places(&self, most: usize) {
+        self.set_most(most);
+    }
+
     fn adopt(self: Rc<Self>, stream: std::net::TcpStream) {
         match stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
             Ok(stream) => {
--- a/crates/sender/src/ports.rs
+++ b/crates/sender/src/ports.rs
@@ -31,6 +31,9 @@
     /// Clients' connections that are open.
     fn open(&self) -> usize;
 
+    /// So many clients' connections at a time from now on.
+    fn set_places(&self, most: usize);
+
     /// Serves a connection that another core took.
     fn adopt(self: Rc<Self>, stream: std::net::TcpStream);
 }
--- a/crates/sender/src/process.rs
+++ b/crates/sender/src/process.rs
@@ -7,7 +7,7 @@
 
 use ::known::belief::Belief;
 use cores::{Core, Owners, Pool};
-use decision::interface::{Effect, EndpointId, MessageId, Micros};
+use decision::interface::{Effect, EndpointId, MessageId, Micros, Settings};
 use decision::policy::Policy;
 use handover::State;
 use handover::step::{self, After, Found, Start};
@@ -20,8 +20,8 @@
 use tokio::sync::watch;
 
 use crate::config::{self, Config};
-use crate::cores::{Post, Room, Team};
-use crate::driver::{self, Ended, Member, Parts};
+use crate::cores::{Post, Room, Say, Team};
+use crate::driver::{self, Ended, Left, Member, Parts};
 use crate::handover::{self as link, Before, Carried};
 use crate::http;
 use crate::http::calls::{Calls, Limits};
@@ -180,6 +180,16 @@
     (config.sockets.saturating_sub(own) / 2).max(1)
 }
 
+/// What settings say of the whole process and each module keeps for itself is divided: the pace and the number of those that
+/// wake, and what is remembered of those that sleep.
+fn divide(settings: &mut Settings, cores: usize) {
+    if let Some(dormant) = &mut settings.dormant {
+        dormant.wakes /= cores as f64;
+        dormant.most = (dormant.most / cores).max(1);
+        dormant.awake = (dormant.awake / cores).max(1);
+    }
+}
+
 /// What several cores share, with as many as the operators' file says; none where it says one.
 fn team(config: &Config, operators: &Operators, taken_over: bool) -> Result<Option<Arc<Team>>, String> {
     let count = operators.cores.count as usize;
@@ -197,7 +207,7 @@
     let room = Room {
         slots: Pool::new(settings.slots, count),
         held: Pool::new(settings.max_open, count),
-        connections: Pool::new(places(config, count), count),
+        connections: Pool::new(places(config, count) / if taken_over { PART } else { 1 }, count),
     };
     // What must arrive is bounded by what is out, held and open; as much again can be turned away.
     let queue = 2 * (settings.slots * 2 + settings.max_open.min(16_384) + places(config, count)).max(1024);
@@ -289,6 +299,7 @@
         eprintln!("the clock was set back since the last process: how old its attempts are is not known");
     }
     let team = team(&config, operators, told.is_some())?;
+    divide(&mut config.settings, team.as_ref().map_or(1, |team| team.count()));
     let post = team.clone().map(|team| Rc::new(Post::new(Core(0), team)));
     let door = watch::Sender::new(Door::default());
     let sides = Sides::new(&config, clock, inherited, &inbound, post.clone(), door);
@@ -303,7 +314,7 @@
             sides.door.send_replace(Door::Standby(since));
         }
         let out = if policy.is_some() { state.out.clone() } else { Vec::new() };
-        before = Some(share_with(&sides, &config, other, out, &inbound));
+        before = Some(share_with(&sides, &config, other, out, &inbound, post.clone()));
         match policy {
             Some(policy) => taken_over = Some((state, policy)),
             None => waits = state.waits,
@@ -336,6 +347,7 @@
             Store::Part(first)
         }
     };
+    let mut member = post.clone().map(Member::new);
     loop {
         // Who goes on after all opens it once more: another process had it meanwhile.
         if memory.is_none() {
@@ -350,7 +362,7 @@
             }
             memory
         });
-        let listening = match beside && team.is_none() {
+        let listening = match beside {
             true => {
                 Some(link::listen(&config.state, inbound.clone()).map_err(|e| format!("successor: {e}"))?)
             }
@@ -362,7 +374,7 @@
         let parts = Parts {
             clock,
             journal,
-            member: post.clone().map(Member::new),
+            member: member.take(),
             fronts: sides.fronts(),
             carriers,
             peers,
@@ -377,14 +389,14 @@
             memory,
             belief,
         };
-        let (successor, state, so_far) =
+        let (successor, state, so_far, left) =
             match driver::run(&config, parts, inbound.clone(), &mut events).await? {
                 Ended::Done => return Ok(()),
-                Ended::HandsOver { successor, state, ends, peers } => {
+                Ended::HandsOver { successor, state, ends, peers, member } => {
                     if let Some(peers) = peers {
                         peers.close().await;
                     }
-                    (successor, *state, ends)
+                    (successor, *state, ends, member)
                 }
             };
         begun = true;
@@ -396,18 +408,26 @@
                 eprintln!("{} has handed over", config.name);
                 sides.calls.close_all_idle();
                 sides.intake.set_most(sides.most / PART);
-                let carried = Carried {
-                    clock,
-                    fronts: sides.fronts(),
-                    carriers: sides.carriers(),
-                    door: sides.door,
-                    ends: so_far,
-                };
+                let (mut fronts, mut carriers) = (sides.fronts(), sides.carriers());
+                if let Some(left) = left {
+                    left.elsewhere.set_places(sides.most / PART);
+                    left.elsewhere.clone().follow(inbound.clone());
+                    fronts.push(left.elsewhere.clone());
+                    carriers.push(left.elsewhere);
+                }
+                let carried = Carried { clock, fronts, carriers, door: sides.door, ends: so_far };
                 return link::carry(link, understood, carried, &mut events).await;
             }
             (After::GoOn, Err(e), Some(again)) => {
                 eprintln!("the next process did not take over, this one goes on: {e}");
-                journal = Store::Whole(Box::new(again));
+                journal = match left {
+                    Some(Left { member: went, mut part, .. }) => {
+                        part.reopen(again);
+                        member = Some(went);
+                        Store::Part(part)
+                    }
+                    None => Store::Whole(Box::new(again)),
+                };
                 let policy = understood(&config, &state, clock.now());
                 taken_over = Some((state, policy.ok_or("its own state can't be read")?));
                 ends = Some(so_far);
@@ -426,15 +446,31 @@
     other: Link,
     out: Vec<(MessageId, u16, EndpointId)>,
     inbound: &UnboundedSender<Inbound>,
+    post: Option<Rc<Post>>,
 ) -> Rc<Before> {
     let (intake, calls, most) = (sides.intake.clone(), sides.calls.clone(), sides.most);
     let part = (most / PART).max(1);
     intake.set_most(part);
-    calls.set_most(part);
+    let post_team = post.as_ref().map(|post| post.team().clone());
+    let others = move |most| {
+        let Some(post) = &post else { return false };
+        let others = post.team().all().filter(|core| *core != post.me());
+        others.for_each(|core| post.say(core, Say::Places(most)));
+        true
+    };
+    // Several cores lease their connections, of fewer than there will be.
+    if !others(part) {
+        calls.set_most(part);
+    }
+    let team = post_team;
+    let all = places(config, team.as_ref().map_or(1, |team| team.count()));
     let names = config.names.classes.clone();
     let class = move |name: &str| names.iter().position(|class| class == name);
     Before::follow(other, out, sides.clock, class, inbound.clone(), move || {
         intake.set_most(most);
-        calls.set_most(most);
+        match team.filter(|_| others(most)) {
+            Some(team) => team.room().connections.grow(all),
+            None => calls.set_most(most),
+        }
     })
 }
--- a/crates/standins/src/node.rs
+++ b/crates/standins/src/node.rs
@@ -119,6 +119,18 @@
         Self::run(program, folder, command)
     }
 
+    /// Starts a sender that is to end by itself: tells its exit code and its log.
+    pub fn fails_to_start(
+        program: &Program,
+        platform: &Platform,
+        change: impl FnOnce(&mut Value),
+    ) -> (Option<i32>, Vec<String>) {
+        let folder = Self::configure(platform, &[], change);
+        let output = program.command(folder.path()).stderr(Stdio::piped()).output().unwrap();
+        let log = String::from_utf8_lossy(&output.stderr).lines().map(str::to_owned).collect();
+        (output.status.code(), log)
+    }
+
     fn configure(
         platform: &Platform,
         endpoints: &[Value],
