--- a/crates/cores/src/pool.rs
+++ b/crates/cores/src/pool.rs
@@ -90,7 +90,7 @@
         let keep = if yields { used.max(need.min(even)) } else { need };
         let spare = if self.another_lacks(at, false) { 0 } else { self.piece };
         let most = keep.saturating_add(spare).min(self.whole);
-        self.leased[at] = self.leased[at].min(most.max(used));
+        self.leased[at] = self.leased[at].min(most);
         if !yields {
             let more = most.saturating_sub(self.leased[at]).min(self.free());
             let beyond = self.leased[at] + more > even && self.another_lacks(at, true);
@@ -119,3 +119,28 @@
         self.used[to] += goes;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the sum: a core that says it hands on more than it has hands on what it has.
+    #[test]
+    fn no_more_is_handed_on_than_is_there() {
+        let mut pool = Pool::new(4, 2);
+        assert_eq!(pool.turn(Core(0), 0, 2).lease, 3);
+        pool.hand(Core(0), Core(1), 9);
+        assert_eq!((pool.lease(Core(0)), pool.lease(Core(1)), pool.free()), (0, 3, 1));
+    }
+
+    #[test]
+    fn who_lacks_something_is_told_when_it_is_there() {
+        let mut pool = Pool::new(4, 2);
+        assert_eq!(pool.turn(Core(0), 4, 4).lease, 4);
+        let short = pool.turn(Core(1), 0, 1);
+        assert_eq!((short.lease, short.concerned), (0, vec![]), "all is in use: there is nobody to ask");
+        let freed = pool.turn(Core(0), 3, 3);
+        assert_eq!((freed.lease, freed.concerned), (3, vec![Core(1)]));
+        assert_eq!(pool.turn(Core(1), 0, 1).lease, 1);
+    }
+}
--- a/crates/cores/tests/model.rs
+++ b/crates/cores/tests/model.rs
@@ -484,6 +484,18 @@
             Property::always("none has less than it uses", |m: &Leases, s: &Leased| {
                 (0..m.cores).all(|core| s.used[usize::from(core)] <= s.pool.lease(Core(core)))
             }),
+            // Where all want all there is, nobody has less than an even part, unless another has more in use.
+            Property::always("even parts", |m: &Leases, s: &Leased| {
+                let even = (m.whole / usize::from(m.cores)).max(1);
+                if s.used.iter().any(|used| *used > even) || m.whole < usize::from(m.cores) {
+                    return true;
+                }
+                let mut pool = s.pool.clone();
+                for core in (0..3).flat_map(|_| (0..m.cores).map(Core)) {
+                    pool.turn(core, s.used[core.index()], m.whole);
+                }
+                (0..m.cores).map(Core).all(|core| pool.lease(core) >= even)
+            }),
             // Room that another does not use is there after a turn of the others and one of its own.
             Property::always("none starves", |m: &Leases, s: &Leased| {
                 (0..m.cores).map(Core).all(|core| {
--- a/crates/decision/tests/moving.rs
+++ b/crates/decision/tests/moving.rs
@@ -309,6 +309,38 @@
     assert!(other.held() > 0 && other.open_breakers() == [DEST]);
 }
 
+/// Guards a drain that the new owner has heard of and the old one has not.
+#[test]
+fn a_drain_that_was_told_here_binds_what_comes() {
+    let mut s = Sender::new(settings(), &[entry(1, 0)]);
+    s.accept(SAFE);
+    s.end(Outcome::Full(None));
+    let mut other = Policy::new(settings(), 43, s.now);
+    let draining = Entry { listing: Listing::Draining, ..entry(1, 0) };
+    other.handle(s.now, &[Event::List(vec![draining])], &mut vec![]);
+    other.join(s.policy.part(DEST).unwrap());
+    let mut actions = vec![];
+    (1..40).for_each(|n| other.handle(s.now + n * SECOND / 4, &[Event::Reminder(0)], &mut actions));
+    assert!(!actions.iter().any(|action| matches!(action, Action::Attempt { .. })), "{actions:?}");
+}
+
+/// Guards the wait of a destination that sleeps, or that nothing came for since the start.
+#[test]
+fn a_wait_goes_along_though_nothing_is_awake() {
+    let wait_until = START + 5 * SECOND;
+    let mut s = Sender::new(settings(), &[entry(1, 0)]);
+    let learnt = Learnt { wait_until, ..Learnt::default() };
+    s.tell(vec![Event::Learnt { route: (DEST, None), learnt }]);
+    let mut other = Policy::new(settings(), 43, s.now);
+    other.handle(s.now, &[Event::List(vec![entry(1, 0)])], &mut vec![]);
+    other.join(s.policy.part(DEST).unwrap());
+    s.policy = other;
+    s.accept(SAFE);
+    assert!(s.out.is_empty(), "the wait runs");
+    s.pass(6 * SECOND);
+    assert!(s.sent.iter().all(|out| out.sent >= wait_until) && !s.sent.is_empty());
+}
+
 /// Guards ids: the other core may know the same endpoint by another one.
 #[test]
 fn endpoints_are_known_by_other_ids_where_they_come_to() {
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -184,7 +184,7 @@
         /// Notes to other senders, which the other process is to have.
         peers: Option<Peers>,
         /// What is left of one of several cores.
-        member: Option<Left>,
+        member: Option<Box<Left>>,
     },
 }
 
@@ -343,7 +343,7 @@
                         (Some(member), Store::Part(mut part)) => {
                             part.close();
                             let elsewhere = Rc::new(member.elsewhere(&state.out, &state.ids));
-                            Some(Left { member, part, elsewhere })
+                            Some(Box::new(Left { member, part, elsewhere }))
                         }
                         _ => None,
                     };
--- a/crates/sender/src/driver/team.rs
+++ b/crates/sender/src/driver/team.rs
@@ -107,7 +107,7 @@
         *self.work.entry(destination).or_default() += 1;
     }
 
-    fn to_depart(&mut self, destination: u16, to: Core, now: Micros) {
+    fn let_depart(&mut self, destination: u16, to: Core, now: Micros) {
         let until = now + DEPART_WITHIN;
         if self.departing.replace(Departing { destination, to, until }).is_some() {
             self.team().stayed();
@@ -202,7 +202,7 @@
             }
             Say::Wait { destination, name, wait } => said.push(self.wait(destination, &name, wait)),
             Say::Parcel(bundle) => self.join(*bundle),
-            Say::Depart { destination, to } => member.to_depart(destination, to, self.clock.now()),
+            Say::Depart { destination, to } => member.let_depart(destination, to, self.clock.now()),
             Say::Gather => member.gathers = true,
             Say::Places(most) => {
                 fronts.iter().for_each(|front| front.set_places(most));
@@ -454,7 +454,7 @@
                 member.stuck = false;
                 let say = Say::Depart { destination: advised.destination, to: advised.to };
                 if advised.from == member.post.me() {
-                    member.to_depart(advised.destination, advised.to, now);
+                    member.let_depart(advised.destination, advised.to, now);
                 } else {
                     member.post.say(advised.from, say);
                 }
@@ -485,7 +485,7 @@
             return told(200, "it is there\n");
         }
         if from == member.me() {
-            member.to_depart(destination, to, self.clock.now());
+            member.let_depart(destination, to, self.clock.now());
         } else {
             member.post.say(from, Say::Depart { destination, to });
         }
--- a/crates/sender/src/process.rs
+++ b/crates/sender/src/process.rs
@@ -421,7 +421,8 @@
             (After::GoOn, Err(e), Some(again)) => {
                 eprintln!("the next process did not take over, this one goes on: {e}");
                 journal = match left {
-                    Some(Left { member: went, mut part, .. }) => {
+                    Some(left) => {
+                        let Left { member: went, mut part, .. } = *left;
                         part.reopen(again);
                         member = Some(went);
                         Store::Part(part)
