--- a/crates/rig/src/idle.rs
+++ b/crates/rig/src/idle.rs
@@ -123,7 +123,8 @@
     Lists,
 }
 
-fn play(seed: u64, count: u16, half: Half, time: Duration) -> Result<Figures, String> {
+fn play(options: &Options, count: u16, half: Half, time: Duration) -> Result<Figures, String> {
+    let (seed, cores) = (options.seed(), options.cores.unwrap_or(1));
     let mut rng = fastrand::Rng::with_seed(seed);
     let crowd = Crowd::new(count, 500.min(count), 3 * AFTER, count);
     let mut platform = Platform::new();
@@ -132,7 +133,9 @@
         (0..count).map(|d| listing(&format!("e{d}"), d, "plain", crowd.address(d))).collect();
     let folder = tempfile::tempdir().map_err(|e| e.to_string())?;
     let operators = folder.path().join("operators.toml");
-    let text = format!("[status]\nevery = \"100ms\"\n[dormant]\nafter = \"{}s\"\n", AFTER.as_secs());
+    let after = AFTER.as_secs();
+    let text =
+        format!("[status]\nevery = \"100ms\"\n[dormant]\nafter = \"{after}s\"\n[cores]\ncount = {cores}\n");
     std::fs::write(&operators, text).map_err(|e| e.to_string())?;
     let bare_kb = Node::start(&program(), &platform, &[], |_| {}).memory_kb();
     let node = Node::start(&program().arg("--operators").arg(&operators), &platform, &endpoints, |config| {
@@ -148,9 +151,13 @@
     let (law, heard, stop) = (Law::new(count), Mutex::new(Heard::default()), AtomicBool::new(false));
     let field = |name: &str| -> usize {
         let log = node.log();
-        let line = log.iter().rev().find(|line| line.starts_with("status ")).cloned().unwrap_or_default();
-        let at = line.split(name).nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
-        at.unwrap_or_default()
+        // The latest line of each core.
+        let of = |core: u8| {
+            let begins = if cores > 1 { format!("status core={core} ") } else { "status ".to_owned() };
+            let line = log.iter().rev().find(|line| line.starts_with(&begins))?;
+            line.split(name).nth(1)?.split(' ').next()?.parse::<usize>().ok()
+        };
+        (0..cores).filter_map(of).sum()
     };
     let mut memory_kb = 0;
     let (asleep, from, well) = std::thread::scope(|scope| {
@@ -387,9 +394,9 @@
     println!(
         "{cores} cores, {count} destinations, {RATE} messages a second, a wave of {size} with 3 messages each"
     );
-    let calm = if options.short { None } else { Some(play(options.seed(), count, Half::Calm, time)?) };
-    let rough = play(options.seed(), count, Half::Wave(size), time)?;
-    let lists = if options.short { None } else { Some(play(options.seed(), count, Half::Lists, time)?) };
+    let calm = if options.short { None } else { Some(play(options, count, Half::Calm, time)?) };
+    let rough = play(options, count, Half::Wave(size), time)?;
+    let lists = if options.short { None } else { Some(play(options, count, Half::Lists, time)?) };
     let others = [("calm", calm.as_ref()), ("lists", lists.as_ref())];
     let others = others.into_iter().filter_map(|(name, run)| Some((name, run?)));
     for (name, f) in others.chain([("wave", &rough)]) {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -27,6 +27,9 @@
     /// How often a run kills its senders, where it can.
     #[arg(long)]
     pub restarts: Option<usize>,
+    /// How many cores the sender has.
+    #[arg(long)]
+    pub cores: Option<u8>,
     /// How many senders there are.
     #[arg(long)]
     pub senders: Option<usize>,
