Count a message's time from the one instant at which its turn decides

'request got no final answer in its time (1 attempts made)'.

Lines at fault: driver/begin.rs resumed() and driver/taking.rs handed_in() tell the module the time that is left as of one reading of the clock; driver.rs turn() read the clock again and the module counted from there. At a start the work of a whole turn lies between. And policy/fold.rs hold() kept 10 ms at the end, which has to cover the way of the request and how late it is read too.

Mend: a turn has one time, read before anything is folded in; what is told as of another instant stops a debug build. A message is answered by the rule's own slack (20 ms here, at most a 64th of its class's time) early. Tests: endings::no_answer_is_waited_for_up_to_the_end_of_a_messages_time fails without the second; what_was_taken_on_outlasts_a_kill and each other test that restarts fail without the first.

--- a/crates/decision/src/policy/fold.rs
+++ b/crates/decision/src/policy/fold.rs
@@ -8,6 +8,9 @@
 use crate::estimate::{chance, faded};
 use crate::interface::*;
 
+/// A message is answered no more than this part of its class's time early.
+const LEAST_OF_TIME: Micros = 64;
+
 impl Policy {
     /// Folds in events, and what fell due.
     pub(super) fn fold(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
@@ -116,8 +119,10 @@
             self.lines.push(key, message.id);
         }
         let aim = (deadline + class.aim).saturating_sub(class.deadline);
-        // It must be answered two ticks before its time is up.
-        let end = deadline.saturating_sub(2 * self.settings.period);
+        // It must be answered two ticks before its time is up, and by as much before as answers are out by there: when the
+        // client sent it is known by when it was read alone. An answer to a call that comes between the two is no end.
+        let early = self.settings.rules.answer_slack.min(class.deadline / LEAST_OF_TIME);
+        let end = deadline.saturating_sub(early.max(2 * self.settings.period));
         let repeats = class.effect.window().map(|window| window - margin(&self.settings, window));
         self.book.insert(Held::new(message.clone(), (deadline, aim, end), repeats));
     }
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -76,6 +76,11 @@
 
 struct Driver {
     clock: Clock,
+    /// The time of this turn, read once before anything is folded in. Guards a message's deadline against moving: what
+    /// the module is told of the time that is left, it counts from the time at which it decides. Told as of one instant
+    /// and counted from a later one, a message lived on after its time by what lay between (up to 44 ms at a start), and
+    /// an answer to its call in that gap was no end of it any more, nor was a notice on its way.
+    at: Micros,
     policy: Policy,
     journal: Store,
     directory: Directory,
@@ -223,6 +228,7 @@
     let (discovery, found) = watch::channel(config.discovery);
     let mut driver = Driver {
         clock,
+        at: clock.now(),
         next_message: journal.live().keys().max().map_or(0, |last| last.wrapping_add(1)),
         journal,
         directory: Directory::new(config.names.clone(), config.settings.kinds.clone(), carriers, held_out),
@@ -305,6 +311,7 @@
         // Turns are a period apart at least, as the module is told.
         tokio::time::sleep_until(turned + period).await;
         turned = tokio::time::Instant::now();
+        driver.at = clock.now();
         let mut said: Vec<Event> = Vec::new();
         driver.hear_cores(&fronts, &mut said);
         first.into_iter().for_each(|inbound| driver.fold(inbound, &mut said));
@@ -314,7 +321,7 @@
         if driver.directory.is_behind() {
             said.push(driver.directory.slice(SLICE, || endpoints_of_attempts(&driver.journal)));
         }
-        let now = clock.now();
+        let now = driver.at;
         while let Some(timer) = driver.timers.pop_first() {
             if timer.0 > now {
                 driver.timers.insert(timer);
@@ -420,7 +427,8 @@
 
     /// One turn: the module decides, the journal is written, then clients hear and calls begin.
     fn turn(&mut self, said: Vec<Event>) {
-        let now = self.clock.now();
+        let now = self.at;
+        debug_assert!(said.iter().all(|event| self.is_as_of_now(event)), "time left as of another instant");
         let mut actions = Vec::new();
         self.note_learning(&said);
         self.policy.handle(now, &said, &mut actions);
@@ -538,6 +546,16 @@
         }
     }
 
+    /// Whether the module is told of the time that is left to a message as of this turn.
+    fn is_as_of_now(&self, event: &Event) -> bool {
+        let (Event::Accepted(message) | Event::Resumed { message, .. }) = event else { return true };
+        let MessageId(number) = message.id;
+        let fresh = self.fresh.get(&number).map(|fresh| &fresh.taken);
+        let taken =
+            fresh.cloned().or_else(|| self.journal.live().get(&number).map(|live| live.taken.clone()));
+        taken.is_none_or(|taken| message.time_left == taken.deadline.saturating_sub(self.at))
+    }
+
     fn say_ready(&self, name: &str, places: &[String]) {
         let cores = self.member.as_ref().map_or(String::new(), |m| format!(", {} cores", m.team().count()));
         let hand = self.journal.live().len();
--- a/crates/sender/src/driver/begin.rs
+++ b/crates/sender/src/driver/begin.rs
@@ -106,7 +106,7 @@
         waits: Vec<(String, Micros)>,
         belief: &mut Belief,
     ) -> (Vec<Event>, Option<u64>) {
-        let now = self.clock.now();
+        let now = self.at;
         let (list, from) = first_list(known, belief);
         self.index = list.index;
         self.list_seen = (now + belief.list.good_for).saturating_sub(LIST_GOOD_FOR);
@@ -142,7 +142,7 @@
     /// A message that an earlier process took on, as the journal has it; none where its class is not one of the
     /// settings' any more.
     fn resumed(&mut self, number: u32, live: &Live, set_back: bool) -> Option<Event> {
-        let now = self.clock.now();
+        let now = self.at;
         let class = self.directory.class(&live.taken.class)?;
         // Guards against a repeat outside the time for which it would be dropped: an age that is not known is beyond
         // any such time.
--- a/crates/sender/src/driver/taking.rs
+++ b/crates/sender/src/driver/taking.rs
@@ -43,7 +43,7 @@
             let _ = answer.send(Answer::Refused(NO_ROOM_AGAIN));
             return;
         };
-        said.push(Event::Accepted(self::message(number, class, &taken, self.clock.now())));
+        said.push(Event::Accepted(self::message(number, class, &taken, self.at)));
         self.held.insert(taken.id.clone(), (number, request));
         self.fresh.insert(number, Fresh { taken, answers: vec![(request, answer)] });
     }
--- a/crates/sender/tests/node/main.rs
+++ b/crates/sender/tests/node/main.rs
@@ -3,6 +3,7 @@
 mod cores;
 mod crowded;
 mod duty;
+mod endings;
 mod kept;
 mod known;
 mod lost;
