Take no delivery for one that is read after the end of the wait that the endpoint was told

What can be shown is the crossing: tokio's timeout_at asks the answer first, so an answer that is read up to some turns late went for a delivery; traces show 137 ms where 132 had been told, and 874 of 866. calls.rs in_time(): such a delivery is a time-out, which may have run.

--- a/crates/sender/src/http/calls.rs
+++ b/crates/sender/src/http/calls.rs
@@ -252,8 +252,9 @@
             };
             let rest = tokio::select! {
                 result = timeout_at(until, shared.call((route, line), &parts, until, pace, &progress)) => match result {
-                    Ok(Ok(answered)) => {
+                    Ok(Ok(mut answered)) => {
                         shared.hear_wait(route, answered.wait);
+                        in_time(&mut answered.ends, Instant::now(), until);
                         shared.report_ends(line, &parts, begun, &answered);
                         answered.rest
                     }
@@ -614,6 +615,14 @@
     }
 }
 
+/// Guards the end that others count by: the endpoint was told until when it is waited for, and the module counts with it. A
+/// delivery that is read after that, since the process stood still or had others to serve first, may be none any more
+/// to those who wrote it; what never ran is known all the same.
+fn in_time(ends: &mut [(Outcome, bool)], now: Instant, until: Instant) {
+    let delivered = ends.iter_mut().filter(|(outcome, _)| now > until && *outcome == Outcome::Delivered);
+    delivered.for_each(|end| end.0 = Outcome::TimedOut);
+}
+
 /// Those of a call's messages that it is written with.
 fn chosen<'a>(parts: &'a [Part], sent: &[bool]) -> Vec<&'a Part> {
     parts.iter().zip(sent).filter(|(_, sent)| **sent).map(|(part, _)| part).collect()
@@ -677,3 +686,23 @@
         _ => Outcome::Error,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Which of an answer and the end of the wait for it is seen first can't be forced from outside.
+    #[test]
+    fn a_delivery_that_is_read_after_the_end_of_the_wait_is_none() {
+        let until = Instant::now();
+        let all = [(Outcome::Delivered, false), (Outcome::Full(None), false), (Outcome::Delivered, false)];
+        let read = |now| {
+            let mut ends = all;
+            in_time(&mut ends, now, until);
+            ends
+        };
+        assert_eq!(read(until), all);
+        let late = (Outcome::TimedOut, false);
+        assert_eq!(read(until + Duration::from_micros(1)), [late, all[1], late]);
+    }
+}
--- a/crates/sender/tests/node/endings.rs
+++ b/crates/sender/tests/node/endings.rs
@@ -79,7 +79,8 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
-/// Guards what a client is told on its second connection against the end of its first, which shows later.
+/// What a client is told on its second connection holds though its first one ends. (That the end of the first shows after the
+/// answer to the second was decided, and before its own, can't be held from outside.)
 #[test]
 fn who_says_it_once_more_is_owed_its_end_though_the_first_connection_goes() {
     let (platform, endpoint) = (Platform::new(), Served::new());
@@ -127,3 +128,27 @@
         "of 4 untried messages of the process before 3 were called; without a call ended 1 (1 out of time";
     wait_until(|| node.log().iter().any(|line| line.contains(told)));
 }
+
+/// Guards a message's end against an answer that lies unread as its time runs out, and a call's against one that comes as it is
+/// not waited for any more: stopped, the process finds the answer and the end at once.
+#[test]
+fn an_answer_that_is_read_after_the_end_is_no_end() {
+    // Of the message's time, and of what a call gets of it.
+    for (within, aim) in [(400, 4000), (20_000, 400)] {
+        let (platform, endpoint) = (Platform::new(), Served::new());
+        let known = [listing("e1", 7, "plain", endpoint.address)];
+        let node = Node::start(&program(), &platform, &known, |config| {
+            config["settings"]["classes"][1]["on_time_us"] = json!(aim * 1000);
+        });
+        assert_eq!(node.hand_in("a", "order", 7, within).status(), 202);
+        let call = endpoint.next();
+        let waits: u64 = call.http.headers["req-deadline-ms"].parse().unwrap();
+        assert!(waits <= 400, "{waits}");
+        node.stop();
+        call.reply(status(200));
+        // Time has to pass, and nothing else; from when the call came it is more than is left.
+        std::thread::sleep(Duration::from_millis(waits + 100));
+        node.signal("-CONT");
+        assert_eq!(platform.notice(204), [json!({"id": "a", "status": "undeliverable"})], "{within}");
+    }
+}
