Let no repeat leave after the window of its key, though its connection comes up late

Ruled out: another group (all), a restart, two messages under one id, a second copy that was out. Lines: policy/dispatch.rs `admit` judged the window when it decided alone, and http/calls.rs `call` asked for waits, drains and the message's end where bytes leave, but not for the window.

Change: an attempt tells within which time its last byte leaves or not at all (`leave_within`), for a repeat of a keyed class the window from its first attempt less the way there; the carrier asks for it where it asks for the end. Such a message never ran again, and is answered as failed at once if nothing else can be tried.

Test: node/waits `a_repeat_whose_connection_comes_up_after_its_key_is_forgotten_stays`; without the bound in dispatch.rs it fails.

--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -453,6 +453,8 @@
         endpoint: EndpointId,
         /// Time-out of the attempt.
         timeout: Micros,
+        /// Its last byte leaves within that time or not at all.
+        leave_within: Micros,
         /// The call's last byte goes so long after the others, so that a connection that is lost shows before.
         hold: Micros,
         /// Over a connection of its own, not over one that was kept.
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -212,7 +212,13 @@
     if senders > few { settings.idle_close / senders * few } else { settings.idle_close }
 }
 
-/// A repeat must get there, connection and all, while its key is remembered.
+/// A repeat must get there, connection and all, while its key is remembered. A connection may take
+/// longer than that: [`way`] bounds when its bytes leave.
 fn margin(settings: &Settings, window: Micros) -> Micros {
     settings.connect_timeout.min(window / 4)
 }
+
+/// The way there alone, once the connection is up.
+fn way(settings: &Settings, window: Micros) -> Micros {
+    margin(settings, window) / 4
+}
--- a/crates/decision/src/policy/dispatch.rs
+++ b/crates/decision/src/policy/dispatch.rs
@@ -1,7 +1,7 @@
 //! The one path of every send, and when to look again.
 
 use super::route::{BUNDLE_WEIGHT, State};
-use super::{FEW_SENDERS, HOLD, PLACES_FREE, Policy, RESTART};
+use super::{FEW_SENDERS, HOLD, PLACES_FREE, Policy, RESTART, way};
 use crate::estimate::chance;
 use crate::interface::*;
 use crate::round::{Begun, Round, Verdict};
@@ -165,6 +165,11 @@
             Effect::Keyed { window, .. } => end + RESTART >= first + window,
         };
         let until = self.stop_at.filter(binds).unwrap_or(Micros::MAX);
+        // Nor may a repeat leave, once its connection is up, so late that its key may be forgotten by there.
+        let leave = match class.effect {
+            Effect::Keyed { window, .. } if first < now => first + window - way(&self.settings, window),
+            _ => Micros::MAX,
+        };
         if now.saturating_add(route.patience(class.aim)) > until {
             return Verdict::Passed { slot: false };
         }
@@ -250,7 +255,8 @@
             // Safe to repeat: nothing is lost with the connection but time.
             let hold = if class.effect == Effect::Repeatable { 0 } else { HOLD };
             let fresh = self.fresh_connection(class.effect);
-            actions.push(Action::Attempt { message: id, endpoint: endpoint_id, timeout, hold, fresh });
+            let (endpoint, leave_within) = (endpoint_id, timeout.min(leave.saturating_sub(now)));
+            actions.push(Action::Attempt { message: id, endpoint, timeout, leave_within, hold, fresh });
         }
         Verdict::Sent
     }
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -77,6 +77,7 @@
     attempt: u16,
     endpoint: EndpointId,
     timeout: Micros,
+    leave_within: Micros,
     pace: Pace,
 }
 
@@ -449,13 +450,13 @@
         let mut sends: Vec<Send> = Vec::new();
         for action in actions {
             match action {
-                Action::Attempt { message, endpoint, timeout, hold, fresh: new } => {
+                Action::Attempt { message, endpoint, timeout, leave_within, hold, fresh: new } => {
                     if let Some(attempt) = self.attempts_of(message, &fresh) {
                         self.note_call(endpoint);
                         self.untried.called(message.0);
                         self.note_out(message, attempt, endpoint);
                         let pace = Pace { hold, fresh: new };
-                        sends.push(Send { message, attempt, endpoint, timeout, pace });
+                        sends.push(Send { message, attempt, endpoint, timeout, leave_within, pace });
                     }
                 }
                 Action::Refuse { message, retry_after } => {
@@ -615,12 +616,13 @@
     fn begin(&mut self, now: Micros, sends: Vec<Send>) {
         let mut calls: Vec<(EndpointId, Vec<Part>, Pace)> = Vec::new();
         let mut last: HashMap<EndpointId, usize> = HashMap::new();
-        for Send { message, attempt, endpoint, timeout, pace } in sends {
+        for Send { message, attempt, endpoint, timeout, leave_within, pace } in sends {
             let Some(live) = self.journal.live().get(&message.0) else { continue };
             let Taken { id, key, body, .. } = (*live.taken).clone();
             // From when it was decided: the module answers for it at its end, which comes no sooner.
             let until = self.clock.instant(now.saturating_add(timeout));
-            let part = Part { message, attempt, id, key, body, until };
+            let leave = self.clock.instant(now.saturating_add(leave_within.min(timeout)));
+            let part = Part { message, attempt, id, key, body, until, leave };
             let bundle = self.directory.bundle(endpoint);
             let call = last.get(&endpoint).copied().and_then(|at| calls.get_mut(at));
             match call.filter(|call| call.1.len() < bundle) {
--- a/crates/sender/src/http/calls.rs
+++ b/crates/sender/src/http/calls.rs
@@ -504,11 +504,12 @@
     ) -> Result<Answered, Outcome> {
         let request = || {
             // Guards the one final answer: at a message's end the module has answered for it, though it travels with others
-            // which have more time, and its connection came up late.
+            // which have more time, and its connection came up late. And the effect: a repeat that leaves once its key may be
+            // forgotten takes effect again.
             let last_byte = Instant::now() + Duration::from_micros(pace.hold);
-            let sent: Vec<bool> = parts.iter().map(|part| last_byte < part.until).collect();
+            let sent: Vec<bool> = parts.iter().map(|part| last_byte < part.leave).collect();
             let with = chosen(parts, &sent);
-            let last = with.iter().map(|part| part.until).min();
+            let last = with.iter().map(|part| part.leave).min();
             let request = write(line, &with, until).zip(last);
             progress.sent.replace(sent);
             request
--- a/crates/sender/src/ports.rs
+++ b/crates/sender/src/ports.rs
@@ -156,8 +156,10 @@
     pub key: Option<String>,
     /// Its body.
     pub body: Bytes,
-    /// Nothing of it leaves from then on, and no answer to it is waited for. Messages that travel together each have their own.
+    /// No answer to it is waited for from then on.
     pub until: tokio::time::Instant,
+    /// Nothing of it leaves from then on, which is no later. Messages that travel together each have their own.
+    pub leave: tokio::time::Instant,
 }
 
 /// How carefully a call is written.
--- a/crates/sender/tests/node/waits.rs
+++ b/crates/sender/tests/node/waits.rs
@@ -1,5 +1,5 @@
-//! Waits are heeded where bytes leave, too: by calls whose connection took long to come up, and by a process that stood
-//! still between its decision and the call.
+//! What binds a call binds it where its bytes leave, too: a wait, a drain, a message's end, the window of its key. Calls
+//! whose connection took long to come up, and a process that stood still between its decision and the call.
 
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -35,6 +35,12 @@
         Self { listener, address, fillers }
     }
 
+    /// Whether somebody waits for a connection to come up, as the system shows it.
+    fn is_dialled(&self) -> bool {
+        let remote = format!("0100007F:{:04X} 02", self.address.port());
+        std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&remote)
+    }
+
     /// Has room from now on; tells the first connection that is not one of those that filled it.
     fn unclog(&self) -> TcpStream {
         let own: Vec<_> = self.fillers.iter().map(|filler| filler.local_addr().unwrap()).collect();
@@ -146,3 +152,25 @@
     assert_eq!(call.headers["req-id"], "long");
     drop(node);
 }
+
+/// Found on the bench, where some connections come up a second late: a repeat was decided while its key was remembered, and left
+/// when it was not any more.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_key_is_forgotten_stays() {
+    let (platform, first, second) = (Platform::new(), Served::new(), Clogged::new());
+    let node = Node::start(&program(), &platform, &[listing("e1", 7, "plain", first.address)], |config| {
+        config["settings"]["limits"]["connect_timeout_us"] = json!(6_000_000);
+        // The system tries a connection again after a second: what comes up then comes too late.
+        config["settings"]["classes"][0]["dedup_window_us"] = json!(800_000);
+    });
+    assert_eq!(node.hand_in("a", "note", 7, 20_000).status(), 202);
+    let call = first.next();
+    platform.tell(&[leaving("e1", 7), listing("e2", 7, "plain", second.address)]);
+    wait_until(|| platform.watched.recv_timeout(PATIENCE).unwrap().contains("from=2"));
+    call.reply(Reply::Close);
+    wait_until(|| second.is_dialled());
+    let mut stream = second.unclog();
+    assert_eq!(platform.notice(204), [json!({"id": "a", "status": "undeliverable"})]);
+    assert_eq!(first_byte(&mut stream, Instant::now() + SLACK), None);
+    drop(node);
+}
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -125,7 +125,17 @@
     let endpoint = EndpointId([0x0a, 0x12, 0x4a, 0x07, 0x5b, 0x1b]);
     let message = MessageId(0x5d3a_91c4);
     let reply = encode(&[
-        (3, vec![Action::Attempt { message, endpoint, timeout: 80_000, hold: 0, fresh: false }]),
+        (
+            3,
+            vec![Action::Attempt {
+                message,
+                endpoint,
+                timeout: 80_000,
+                leave_within: 80_000,
+                hold: 0,
+                fresh: false,
+            }],
+        ),
         (5, vec![Action::Log("ab".into()), Action::Watch]),
     ]);
     assert_eq!(reply[..8], [74, 0, 0, 0, 3, 0, 0, 0]);
