Let what a restart found untried go first and not make way for what comes later

Change: a message that a restart found untried, and that had no call since, is owed one: shed() passes it over, and it is never late, so that it goes by its age. What it costs: newer messages wait longer or make way. The oracle of the old dispatch has the same two rules.

Tests: decision/tests/policy what_a_restart_found_untried_goes_first_and_does_not_make_way (each of the two guards was taken out and found), node/endings what_a_restart_finds_untried_does_not_make_way on sockets.

--- a/crates/decision/src/book.rs
+++ b/crates/decision/src/book.rs
@@ -17,6 +17,9 @@
     /// When it must be answered.
     pub end: Micros,
     pub attempts: u32,
+    /// A restart found it untried.
+    #[serde(default)]
+    untried: bool,
     pub out: u32,
     /// Attempts that may have run or are out: number, time of sending, endpoint.
     pub may_have_run: Vec<(u16, Micros, EndpointId)>,
@@ -34,13 +37,19 @@
         repeats: Option<Micros>,
     ) -> Self {
         let may_have_run = Vec::new();
-        let (attempts, out, repeatable_for, lapses) = (0, 0, repeats, None);
-        Self { message, deadline, aim, end, attempts, out, may_have_run, repeatable_for, lapses }
+        let (attempts, untried, out, repeatable_for, lapses) = (0, false, 0, repeats, None);
+        Self { message, deadline, aim, end, attempts, untried, out, may_have_run, repeatable_for, lapses }
+    }
+
+    /// Whether it was taken on by an earlier process, and no call was made for it yet.
+    pub fn is_owed_a_call(&self) -> bool {
+        self.untried && self.attempts == 0
     }
 
     fn ticket(&self) -> Ticket {
         let Message { id, destination, class, tenant, .. } = self.message;
-        Ticket { id, destination, class, tenant, aim: self.aim, end: self.end }
+        let owed = self.is_owed_a_call();
+        Ticket { id, destination, class, tenant, aim: self.aim, end: self.end, owed }
     }
 }
 
@@ -125,7 +134,10 @@
     /// What an earlier process knew of a message.
     pub fn resumed(&mut self, id: MessageId, attempts: u32, may_have_run: Vec<(u16, Micros, EndpointId)>) {
         if let Some(held) = self.held.get_mut(&id) {
+            self.waiting.remove(&held.ticket());
+            held.untried = attempts == 0 && may_have_run.is_empty();
             (held.attempts, held.may_have_run) = (attempts, may_have_run);
+            self.waiting.insert(&held.ticket());
             self.note_attempts(id);
         }
     }
@@ -133,12 +145,11 @@
     /// An attempt begins; tells its number.
     pub fn begun(&mut self, id: MessageId, now: Micros, endpoint: EndpointId) -> Option<u16> {
         let held = self.held.get_mut(&id)?;
-        let attempt = held.attempts as u16;
+        let (attempt, ticket) = (held.attempts as u16, held.ticket());
+        self.waiting.remove(&ticket);
         held.attempts += 1;
         held.out += 1;
         held.may_have_run.push((attempt, now, endpoint));
-        let ticket = held.ticket();
-        self.waiting.remove(&ticket);
         self.tried.insert(id);
         Some(attempt)
     }
--- a/crates/decision/src/policy/answers.rs
+++ b/crates/decision/src/policy/answers.rs
@@ -54,7 +54,8 @@
     }
 
     /// Guards the buffer: where it fills with what a few destinations cannot take, messages for the others
-    /// would be turned away at the door. Refuses those of least worth at the time they can expect to go.
+    /// would be turned away at the door. Refuses those of least worth at the time they can expect to go. What
+    /// a restart found untried stays: it was taken on, and has had no call yet; newer ones make way for it.
     pub(super) fn shed(&mut self, actions: &mut Vec<Action>) {
         let room = (self.settings.max_open / 16).max(1);
         let excess = (self.book.len() + room).saturating_sub(self.settings.max_open);
@@ -69,7 +70,7 @@
             // In one queue the oldest is worth least.
             let idle = queue.iter().map(|place| place.1).filter(|id| !self.book.was_tried(*id));
             for id in idle.take(excess) {
-                let Some(held) = self.book.get(&id) else { continue };
+                let Some(held) = self.book.get(&id).filter(|held| !held.is_owed_a_call()) else { continue };
                 let worth = self.worth_at(held, now.saturating_add(wait));
                 least.push(((worth * 1e6) as u64, held.aim, id, wait));
             }
--- a/crates/decision/src/policy/oracle.rs
+++ b/crates/decision/src/policy/oracle.rs
@@ -56,7 +56,8 @@
         let room = (self.settings.max_open / 16).max(1);
         let excess = (self.book.len() + room).saturating_sub(self.settings.max_open);
         let mut least = Vec::new();
-        for (id, held) in self.book.iter().filter(|(_, h)| h.out == 0 && h.may_have_run.is_empty()) {
+        let idle = |held: &Held| held.out == 0 && held.may_have_run.is_empty() && !held.is_owed_a_call();
+        for (id, held) in self.book.iter().filter(|(_, held)| idle(held)) {
             let wait = self.expected_wait(held.message.destination);
             let worth = self.worth_at(held, self.now.saturating_add(wait));
             least.push(((worth * 1e6) as u64, held.aim, *id, wait));
@@ -71,7 +72,8 @@
         let now = self.now;
         let late = |held: &Held| {
             let given_up = self.taken(held).saturating_add(self.given_up_from.0);
-            now > held.aim.min(given_up) || self.within_share(held.message.tenant) < 0.5
+            let late = now > held.aim.min(given_up) || self.within_share(held.message.tenant) < 0.5;
+            late && !held.is_owed_a_call()
         };
         let waiting = self.book.iter().filter(|(_, held)| held.out == 0);
         let mut queue: Vec<_> = waiting.map(|(id, held)| (late(held), held.aim, *id)).collect();
@@ -187,9 +189,10 @@
             };
             held.push(message.id);
             next += 1;
-            let may_have_run = vec![(rng.u64(..2_000_000), endpoint(rng.u8(..18)))];
+            let ran = vec![(rng.u64(..2_000_000), endpoint(rng.u8(..18)))];
             events.push(match rng.u8(..20) {
-                0 => Event::Resumed { message, attempts: rng.u32(..4), may_have_run },
+                0 => Event::Resumed { message, attempts: rng.u32(..4), may_have_run: ran },
+                1 | 2 => Event::Resumed { message, attempts: 0, may_have_run: vec![] },
                 _ => Event::Accepted(message),
             });
         }
--- a/crates/decision/src/waiting.rs
+++ b/crates/decision/src/waiting.rs
@@ -22,6 +22,17 @@
     pub aim: Micros,
     /// When it must be answered.
     pub end: Micros,
+    /// A restart found it untried, and it still is: it is never late.
+    pub owed: bool,
+}
+
+/// A class, a tenant, and whether a restart found its messages untried.
+type Of = (usize, usize, bool);
+
+impl Ticket {
+    fn of(&self) -> Of {
+        (self.class, self.tenant, self.owed)
+    }
 }
 
 /// The messages of a class and tenant, oldest aim first.
@@ -30,7 +41,7 @@
 /// What waits for one destination.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Cell {
-    queues: BTreeMap<(usize, usize), Queue>,
+    queues: BTreeMap<Of, Queue>,
     ends: BTreeSet<(Micros, MessageId)>,
     due: Option<Micros>,
     /// Its place among the destinations that may be tried.
@@ -53,7 +64,7 @@
     /// A message begins to wait.
     pub fn insert(&mut self, ticket: &Ticket) {
         let cell = self.cells.entry(ticket.destination).or_default();
-        cell.queues.entry((ticket.class, ticket.tenant)).or_default().insert((ticket.aim, ticket.id));
+        cell.queues.entry(ticket.of()).or_default().insert((ticket.aim, ticket.id));
         self.count += usize::from(cell.ends.insert((ticket.end, ticket.id)));
         self.touched.insert(ticket.destination);
     }
@@ -61,10 +72,10 @@
     /// A message waits no more, if it did.
     pub fn remove(&mut self, ticket: &Ticket) {
         let Some(cell) = self.cells.get_mut(&ticket.destination) else { return };
-        if let Some(queue) = cell.queues.get_mut(&(ticket.class, ticket.tenant)) {
+        if let Some(queue) = cell.queues.get_mut(&ticket.of()) {
             queue.remove(&(ticket.aim, ticket.id));
             if queue.is_empty() {
-                cell.queues.remove(&(ticket.class, ticket.tenant));
+                cell.queues.remove(&ticket.of());
             }
         }
         self.count -= usize::from(cell.ends.remove(&(ticket.end, ticket.id)));
@@ -165,7 +176,8 @@
     }
 
     /// The destination's message that goes next, after that place. Of a class and tenant, those with an aim before
-    /// what `late_before` tells are late.
+    /// what `late_before` tells are late. Guards what was taken on, and a restart found untried, against all that comes
+    /// after it: it goes by its age alone. What comes in meanwhile waits longer for it.
     pub fn next(
         &self,
         destination: DestinationId,
@@ -174,8 +186,8 @@
     ) -> Option<Place> {
         let queues = &self.cells.get(&destination)?.queues;
         let first = |late: bool| {
-            let of = |((class, tenant), queue): (&(usize, usize), &Queue)| {
-                let border = (late_before(*class, *tenant), MessageId(0));
+            let of = |((class, tenant, owed), queue): (&Of, &Queue)| {
+                let border = (if *owed { 0 } else { late_before(*class, *tenant) }, MessageId(0));
                 let from = match after {
                     Some((phase, aim, id)) if phase == late => Excluded((aim, id)),
                     _ => Unbounded,
@@ -227,7 +239,8 @@
     use super::*;
 
     fn ticket(id: u32, class: usize, aim: Micros) -> Ticket {
-        Ticket { id: MessageId(id), destination: DestinationId(7), class, tenant: 0, aim, end: aim + 10 }
+        let (id, destination) = (MessageId(id), DestinationId(7));
+        Ticket { id, destination, class, tenant: 0, aim, end: aim + 10, owed: false }
     }
 
     /// Against sorting all of them, for any border between late and in time.
@@ -236,12 +249,13 @@
         let mut rng = fastrand::Rng::with_seed(1);
         for _ in 0..500 {
             let mut waiting = Waiting::default();
-            let tickets: Vec<_> =
-                (0..rng.u32(..12)).map(|id| ticket(id, rng.usize(..3), rng.u64(..8))).collect();
+            let count = rng.u32(..12);
+            let any = |id| Ticket { owed: rng.u8(..4) == 0, ..ticket(id, rng.usize(..3), rng.u64(..8)) };
+            let tickets: Vec<_> = (0..count).map(any).collect();
             tickets.iter().for_each(|ticket| waiting.insert(ticket));
             let borders = [rng.u64(..9), rng.u64(..9), rng.u64(..9)];
             let mut sorted: Vec<Place> =
-                tickets.iter().map(|t| (t.aim < borders[t.class], t.aim, t.id)).collect();
+                tickets.iter().map(|t| (!t.owed && t.aim < borders[t.class], t.aim, t.id)).collect();
             sorted.sort_unstable();
             let (mut found, mut after) = (vec![], None);
             while let Some(place) = waiting.next(DestinationId(7), after, |class, _| borders[class]) {
--- a/crates/decision/tests/policy.rs
+++ b/crates/decision/tests/policy.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
 use common::*;
 use decision::interface::*;
 
@@ -508,6 +510,39 @@
     assert_eq!(s.refused.iter().map(|r| r.0).collect::<Vec<_>>(), [used_up]);
 }
 
+/// What was taken on is tried, though a restart came between and all that comes now is worth more.
+#[test]
+fn what_a_restart_found_untried_goes_first_and_does_not_make_way() {
+    let mut draining = entry(1, 0);
+    draining.listing = Listing::Draining;
+    let mut s = Sender::new(settings(), std::slice::from_ref(&draining));
+    let before: BTreeSet<_> = (0..40)
+        .map(|_| {
+            // Late already.
+            let message = s.message(SAFE, None, 10 * SECOND);
+            s.tell(vec![Event::Resumed { message: message.clone(), attempts: 0, may_have_run: vec![] }]);
+            message.id
+        })
+        .collect();
+    for _ in 0..64 {
+        s.accept(SAFE);
+    }
+    assert!(!s.refused.is_empty() && s.refused.iter().all(|refused| !before.contains(&refused.0)));
+    s.tell(vec![Event::Changes(vec![entry(1, 0)])]);
+    s.serve(40);
+    let called: BTreeSet<_> = s.sent[..40].iter().map(|out| out.message).collect();
+    assert_eq!(called, before);
+    // One that had a call is as any other.
+    s.tell(vec![Event::Changes(vec![draining])]);
+    let message = s.message(SAFE, None, 10 * SECOND);
+    let id = message.id;
+    s.tell(vec![Event::Resumed { message, attempts: 1, may_have_run: vec![] }]);
+    for _ in 0..64 {
+        s.accept(SAFE);
+    }
+    assert!(s.refused.iter().any(|refused| refused.0 == id));
+}
+
 /// Guards against a call that is cut off by the end of the process and must not be repeated.
 #[test]
 fn nothing_unsafe_is_out_when_the_process_ends() {
--- a/crates/sender/tests/node/endings.rs
+++ b/crates/sender/tests/node/endings.rs
@@ -129,6 +129,37 @@
     wait_until(|| node.log().iter().any(|line| line.contains(told)));
 }
 
+/// What a restart finds untried stays though more comes in than there is room for, and goes before what came later: newer ones
+/// make way.
+#[test]
+fn what_a_restart_finds_untried_does_not_make_way() {
+    const OLD: usize = 12;
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&program(), &platform, &[leaving("e0", 7)], |config| {
+        config["settings"]["limits"]["max_open"] = json!(16);
+    });
+    for n in 0..OLD {
+        assert_eq!(node.hand_in(&format!("old{n}"), "order", 7, 20_000).status(), 202);
+    }
+    let node = node.kill_and_restart();
+    for n in 0..20 {
+        assert_eq!(node.hand_in(&format!("new{n}"), "note", 7, 20_000).status(), 202);
+    }
+    let first_to_go = platform.notice(204)[0]["id"].to_string();
+    assert!(first_to_go.contains("new"), "{first_to_go}");
+    platform.tell(&[listing("e1", 7, "plain", endpoint.address)]);
+    let ids: Vec<_> = (0..OLD)
+        .map(|_| {
+            let call = endpoint.next();
+            let id = call.http.headers["req-id"].clone();
+            call.reply(status(200));
+            id
+        })
+        .collect();
+    let old: Vec<_> = (0..OLD).map(|n| format!("old{n}")).collect();
+    assert!(old.iter().all(|id| ids.contains(id)), "{ids:?}");
+}
+
 /// Guards a message's end against an answer that lies unread as its time runs out, and a call's against one that comes as it is
 /// not waited for any more: stopped, the process finds the answer and the end at once.
 #[test]
