Count a request's time from when it came, and answer one of which a part was read at the end

Cause, by reading: http/intake.rs hand_in took a request's time from when it was read. One that lay unread while a turn took long, or the process stood still, had as much more time: its end came by as much later than the client's, over the rule's slack beyond some 300 ms, and an answer to its call in between is no end for the platform. serve() closed a kept connection of which a part of the next request had been read: at SIGTERM, when its place was wanted, and after standby; the client had written it whole.

Change: sender::pulse notes when the runtime waits and wakes, and tells how long ago what is read now may have come; a connection on which a request has begun counts as one that is asking, for as long as clients wait.

Tests: node/endings a_request_that_lay_unread_has_no_more_time_for_it (SIGSTOP), a_request_that_was_read_in_part_is_answered_while_the_ process_ends; with both guards taken out both fail. pulse's unit test for the order of a long turn and a request, which can't be held from outside.

--- a/crates/sender/src/http/intake.rs
+++ b/crates/sender/src/http/intake.rs
@@ -5,8 +5,10 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,6 +20,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, mpsc::UnboundedSender, oneshot, watch};
 use tokio::time::{Instant, timeout};
@@ -27,6 +30,7 @@
 
 use crate::cores::{Post, Say};
 use crate::ports::{Answer, BODY_LIMIT, Clock, Front, HandedIn, Inbound};
+use crate::pulse;
 
 /// Guards the places for clients: a connection that brings no request for so long is closed.
 const HEAD_WITHIN: Duration = Duration::from_millis(2200);
@@ -36,6 +40,8 @@
 const BACKLOG: u32 = 1024;
 /// A head of more bytes is not read to its end.
 const HEAD_LIMIT: usize = 16 * 1024;
+/// How long one waits for the rest of a request on a connection that is to be closed, before one looks again.
+const LOOK_AGAIN: Micros = 50_000;
 /// How long one looks for a place before one looks again.
 const PLACE_WITHIN: Duration = Duration::from_millis(5);
 /// A deadline is told in whole milliseconds: it may be so much longer than its class's.
@@ -49,6 +55,8 @@
     answered: Cell<u64>,
     /// A request is open on it.
     asking: Cell<bool>,
+    /// When the first bytes came of one that is not read whole yet.
+    begun: Cell<Option<Instant>>,
     /// It is to be closed if no request is open on it, and was told so.
     close: Notify,
     told: Cell<bool>,
@@ -74,6 +82,54 @@
     requests: Cell<u64>,
 }
 
+impl Place {
+    /// Whether something is owed on it, or will be in a moment. Guards a request of which a part was read when its connection
+    /// is to be closed: its client can't tell that from one that was read whole. One that takes longer than clients wait is
+    /// none.
+    fn is_asking(&self) -> bool {
+        self.asking.get() || self.begun.get().is_some_and(|begun| begun.elapsed() < BODY_WITHIN)
+    }
+}
+
+/// A client's stream, which notes when a request begins.
+struct Heard {
+    stream: TcpStream,
+    place: Rc<Place>,
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before && self.place.begun.get().is_none() {
+            self.place.begun.set(Some(Instant::now()));
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for Heard {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context,
+        bufs: &[io::IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
 /// Tells the driver that a client went away before its answer.
 struct Withdrawal<'a> {
     id: Option<String>,
@@ -108,6 +164,7 @@
 impl Drop for Asking<'_> {
     fn drop(&mut self) {
         self.0.asking.set(false);
+        self.0.begun.set(None);
         self.0.answered.set(self.0.answered.get() + 1);
         self.0.since.set(Instant::now());
     }
@@ -281,6 +338,7 @@
             since: Cell::new(Instant::now()),
             answered: Cell::new(0),
             asking: Cell::new(false),
+            begun: Cell::new(None),
             close: Notify::new(),
             told: Cell::new(false),
         });
@@ -316,15 +374,16 @@
     /// first request on a new one, if it is on its way, would fail.
     fn free_place(&self) {
         let places = self.places.borrow();
-        let idle = places.values().filter(|place| !place.asking.get() && !place.told.get());
+        let idle = places.values().filter(|place| !place.is_asking() && !place.told.get());
         if let Some(place) = idle.min_by_key(|place| (place.answered.get() == 0, place.since.get())) {
             place.told.set(true);
             place.close.notify_one();
         }
     }
 
-    async fn serve(&self, stream: TcpStream, place: &Place) {
+    async fn serve(&self, stream: TcpStream, place: &Rc<Place>) {
         let _ = stream.set_nodelay(true);
+        let stream = Heard { stream, place: place.clone() };
         let came = self.clock.now();
         let mut door = self.door.clone();
         door.mark_changed();
@@ -343,30 +402,31 @@
                 _ = connection.as_mut() => return,
                 () = place.close.notified() => {
                     place.told.set(false);
-                    if !place.asking.get() {
+                    if !place.is_asking() {
                         return;
                     }
                 }
                 Ok(()) = door.changed() => {
                     let now = *door.borrow_and_update();
-                    let asked = place.asking.get() || place.answered.get() > 0;
+                    let half_read = place.is_asking() && !place.asking.get();
+                    let asked = place.asking.get() || place.answered.get() > 0 && !half_read;
                     // A connection that comes late has its moment too: while clients are sent away a new one gets one
                     // answer, for they need the time to go elsewhere.
                     idle_until = now.close_idle_at().map(|at| at.max(came + ops::door::LINGER));
                     match now {
                         Door::Closing if asked => connection.as_mut().graceful_shutdown(),
-                        // Guards the first request on a new connection, which may be on its way or lie unread: the
-                        // library would close that without a look. Its answer is the last on it.
+                        // Guards the first request on a new connection, which may be on its way or lie unread, and one of
+                        // which a part was read: the library would close those without a look. Its answer is the last.
                         Door::Closing => idle_until = Some(self.clock.now() + ops::door::LINGER),
                         _ => {}
                     }
                 }
                 () = tokio::time::sleep_until(until), if idle_until.is_some() => {
-                    if !place.asking.get() {
+                    if !place.is_asking() {
                         return;
                     }
-                    // Its answer is the last.
-                    idle_until = None;
+                    // Its answer is the last; of one that is not read whole yet it may never come.
+                    idle_until = (!place.asking.get()).then(|| self.clock.now() + LOOK_AGAIN);
                 }
             }
         }
@@ -394,7 +454,7 @@
 
     /// Guards against anything that a client may write: what can't be meant as a message gets 400.
     async fn hand_in(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let came = self.clock.now();
+        let came = self.clock.now().saturating_sub(pulse::behind().as_micros() as Micros);
         let (head, body) = request.into_parts();
         let bad = |what| told_off(StatusCode::BAD_REQUEST, what);
         // Guards against a second request hidden in the body: beside it the library drops a Content-Length, or
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod ports;
 mod process;
 pub mod program;
+mod pulse;
 mod show_known;
 pub mod store;
 pub mod waits;
--- a/crates/sender/src/process.rs
+++ b/crates/sender/src/process.rs
@@ -31,6 +31,7 @@
 use crate::link::Link;
 use crate::peers::Peers;
 use crate::ports::{Carrier, Clock, Front, Inbound};
+use crate::pulse;
 use crate::store::Store;
 
 /// Descriptors that are neither clients' nor endpoints'.
@@ -245,9 +246,10 @@
     }
 
     fn run(self) -> Result<(), String> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = pulse::notes(tokio::runtime::Builder::new_current_thread().enable_all()).build();
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
         tokio::task::LocalSet::new().block_on(&runtime, async {
+            tokio::task::spawn_local(pulse::beat());
             let (inbound, mut events) = tokio::sync::mpsc::unbounded_channel();
             let post = Rc::new(Post::new(self.core, self.team));
             let sides =
--- a/crates/sender/src/program.rs
+++ b/crates/sender/src/program.rs
@@ -16,6 +16,7 @@
 use crate::look;
 use crate::ports::Inbound;
 use crate::process;
+use crate::pulse;
 use crate::show_known;
 
 /// What `[dormant]` has where it says no more than `after`.
@@ -150,9 +151,10 @@
     let mut config = config::read()?;
     config.settings.dormant = dormant(&operators.dormant);
     config.settings.shared = shared(&operators.shared, &config)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = pulse::notes(tokio::runtime::Builder::new_current_thread().enable_all()).build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
+        tokio::task::spawn_local(pulse::beat());
         let (inbound, events) = mpsc::unbounded_channel();
         for kind in [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()] {
             let mut asked = signal(kind).map_err(|e| format!("signals: {e}"))?;
--- /dev/null
+++ b/crates/sender/src/pulse.rs
@@ -0,0 +1,95 @@
+//! How long ago what is read now may have come: a request's time runs from when it came, not from when it is read.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use tokio::runtime::Builder;
+use tokio::time::Instant;
+
+/// The runtime waits no longer than that at a time.
+const BEAT: Duration = Duration::from_millis(100);
+/// A wait that is over so soon found something that was there already.
+const AT_ONCE: Duration = Duration::from_micros(200);
+/// A wait that ends so long after the beat did not end by itself: the process stood still.
+const STILL: Duration = Duration::from_millis(50);
+
+/// What a thread's runtime does between what it reads.
+#[derive(Debug, Clone, Copy, Default)]
+struct Pulse {
+    /// When it began to wait, and when it went on.
+    waits: Option<Instant>,
+    woke: Option<Instant>,
+    /// What is read now came no sooner.
+    since: Option<Instant>,
+}
+
+impl Pulse {
+    fn waits(self, now: Instant) -> Self {
+        Self { waits: Some(now), ..self }
+    }
+
+    /// Guards a message's time against a turn that took long, during which its request lay unread, and against a process
+    /// that stood still. One that stands still for less than the beat is not noticed; after a longer time up to a beat too
+    /// much is taken off.
+    fn wakes(self, now: Instant) -> Self {
+        let waited = self.waits.map_or(Duration::ZERO, |waits| now.saturating_duration_since(waits));
+        let since = if waited < AT_ONCE {
+            self.woke
+        } else if waited > BEAT + STILL {
+            self.waits
+        } else {
+            Some(now)
+        };
+        Self { woke: Some(now), since, ..self }
+    }
+
+    fn behind(self, now: Instant) -> Duration {
+        self.since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+}
+
+thread_local! {
+    static PULSE: Cell<Pulse> = const { Cell::new(Pulse { waits: None, woke: None, since: None }) };
+}
+
+/// Has a runtime's thread note when it waits.
+pub fn notes(runtime: &mut Builder) -> &mut Builder {
+    runtime
+        .on_thread_park(|| PULSE.set(PULSE.get().waits(Instant::now())))
+        .on_thread_unpark(|| PULSE.set(PULSE.get().wakes(Instant::now())))
+}
+
+/// Sees to it that the runtime's waits end. For as long as the process runs.
+pub async fn beat() {
+    loop {
+        tokio::time::sleep(BEAT).await;
+    }
+}
+
+/// How long ago what is read now came, at most.
+pub fn behind() -> Duration {
+    PULSE.get().behind(Instant::now())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Which of a long turn and a request comes first can't be held from outside.
+    #[test]
+    fn what_is_read_came_after_the_last_look_at_the_soonest() {
+        let start = Instant::now();
+        let at = |ms| start + Duration::from_millis(ms);
+        let ms = Duration::from_millis;
+        let pulse = Pulse::default();
+        assert_eq!(pulse.behind(at(0)), ms(0));
+        let pulse = pulse.waits(at(0)).wakes(at(90));
+        assert_eq!(pulse.behind(at(91)), ms(1), "it came and was read");
+        let pulse = pulse.waits(at(130)).wakes(at(130));
+        assert_eq!(pulse.behind(at(130)), ms(40), "it may have come as a turn began that took long");
+        let pulse = pulse.waits(at(131)).wakes(at(200));
+        assert_eq!(pulse.behind(at(200)), ms(0));
+        let pulse = pulse.waits(at(210)).wakes(at(600));
+        assert_eq!(pulse.behind(at(600)), ms(390), "no wait takes so long: it stood still");
+    }
+}
--- a/crates/sender/tests/node/endings.rs
+++ b/crates/sender/tests/node/endings.rs
@@ -79,6 +79,58 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
+/// Guards a request of which a part was read as the process was asked to end: it is answered, and that is the last answer.
+#[test]
+fn a_request_that_was_read_in_part_is_answered_while_the_process_ends() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let mut node = Node::start(&program(), &platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    const READY: &[u8] = b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n";
+    let (mut kept, mut half) = (Client::new(&node), Client::new(&node));
+    assert_eq!(half.ask(READY).status(), 200);
+    let request = handing_in("a", "note", 7, 20_000);
+    let (first, rest) = request.split_at(40);
+    half.say(first);
+    // It has been read once what came later is answered.
+    assert_eq!(kept.ask(READY).status(), 200);
+    node.signal("-TERM");
+    assert!(kept.ended(), "the process has heard it");
+    half.say(rest);
+    let answer = half.answer().expect("an answer");
+    assert_eq!((answer.status(), &*answer.headers["connection"]), (202, "close"));
+    assert!(half.ended());
+    endpoint.next().reply(status(200));
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+/// Guards a message's time against a request that lay unread while the process stood still: it runs from when the request came.
+/// Its end is owed within 300 ms.
+#[test]
+fn a_request_that_lay_unread_has_no_more_time_for_it() {
+    const STILL: Duration = Duration::from_millis(350);
+    const WITHIN: u32 = 900;
+    let platform = Platform::new();
+    let node = Node::start(&program(), &platform, &[leaving("e0", 7)], |_| {});
+    let mut latest = Duration::MAX;
+    // One that is in time is enough: without the guard none is, and a busy machine may delay some.
+    for n in 0..8 {
+        let mut client = Client::new(&node);
+        assert_eq!(client.ask(b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n").status(), 200);
+        node.stop();
+        let since = Instant::now();
+        client.say(&handing_in(&format!("m{n}"), "order", 7, WITHIN));
+        // Time has to pass, and nothing else.
+        std::thread::sleep(STILL);
+        node.signal("-CONT");
+        assert_eq!(client.answer().expect("an answer").status(), 202);
+        platform.notice(204);
+        latest = latest.min(since.elapsed());
+        if latest < Duration::from_millis(u64::from(WITHIN) + 100) {
+            return;
+        }
+    }
+    panic!("the soonest end came after {latest:?}");
+}
+
 /// What a client is told on its second connection holds though its first one ends. (That the end of the first shows after the
 /// answer to the second was decided, and before its own, can't be held from outside.)
 #[test]
