Put first in a call the message that lives as long as the call does

Ruled out: a cut answer (length and JSON whole, connection usable after it), late ones (0.22 to 1.6 s to go), a restart, a notice that crossed, Req-Deadline-Ms (the longest of the call's).

Line: driver.rs begin() put messages in the order of their turn. Change: the one that is waited for longest goes first; its end is no sooner than the call's.

Test: node/endings of_messages_that_travel_together_the_one_with_most_time_is_the_first; without the sort it fails.

--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -636,7 +636,11 @@
                 }
             }
         }
-        for (endpoint, parts, pace) in calls {
+        for (endpoint, mut parts, pace) in calls {
+            // Guards those that travel along against the end of the first, by which a call may be told: where that one was
+            // over before the answer came, the answer was taken for none of theirs. The one that is waited for longest
+            // lives as long as its call does.
+            parts.sort_by_key(|part| std::cmp::Reverse(part.until));
             let place = self.directory.carrier(endpoint).zip(self.directory.route(endpoint));
             let Some((carrier, route)) = place else {
                 // An address that can't be read is one where no connection can be made.
--- a/crates/sender/tests/node/endings.rs
+++ b/crates/sender/tests/node/endings.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 
-use super::program;
+use super::{ids, program};
 use standins::*;
 
 /// Guards a message's end against the answer that comes between what its client and what the sender take for its time:
@@ -212,6 +212,20 @@
     assert!(old.iter().all(|id| ids.contains(id)), "{ids:?}");
 }
 
+/// Guards those that travel together against the end of the first before its call's, which was taken for the end of all.
+#[test]
+fn of_messages_that_travel_together_the_one_with_most_time_is_the_first() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&program(), &platform, &[leaving("e0", 7)], |_| {});
+    for (id, within) in [("short", 3_000), ("long", 20_000), ("shorter", 2_000)] {
+        assert_eq!(node.hand_in(id, "order", 7, within).status(), 202);
+    }
+    platform.tell(&[listing("e1", 7, "bulk", endpoint.address)]);
+    let call = endpoint.next();
+    assert_eq!(ids(&call), ["long", "short", "shorter"]);
+    call.reply(status(200));
+}
+
 /// Guards a message's end against an answer that lies unread as its time runs out, and a call's against one that comes as it is
 /// not waited for any more: stopped, the process finds the answer and the end at once.
 #[test]
