--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -4,6 +4,7 @@
 mod compaction_kills;
 mod cores;
 mod demo;
+mod endings;
 mod herd;
 mod idle;
 mod journal_bench;
@@ -25,6 +26,7 @@
 const SCENARIOS: &[Scenario] = &[
     cores::SCENARIO,
     demo::SCENARIO,
+    endings::SCENARIO,
     herd::SCENARIO,
     idle::SCENARIO,
     journal_bench::SCENARIO,
--- a/crates/rig/tests/short.rs
+++ b/crates/rig/tests/short.rs
@@ -74,6 +74,12 @@
     assert!(last.starts_with("held: "), "{last}");
 }
 
+#[test]
+fn whatever_ends_nothing_is_left_owed() {
+    let last = last_line(&["endings", "--short"]);
+    assert!(last.starts_with("held: "), "{last}");
+}
+
 #[test]
 fn hand_overs_under_fire_lose_nothing_and_apply_nothing_twice() {
     let last = last_line(&["upgrade-kills", "--short"]);
--- a/crates/sender/tests/node/main.rs
+++ b/crates/sender/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! The real program over loopback sockets: each promise, and each failure found, in small.
 
+mod bad;
 mod cores;
 mod crowded;
 mod duty;
