Take what is read right after a standstill for what may have come during it

Seen: node/endings a_request_that_lay_unread_has_no_more_time_for_it failed beside a busy machine (all eight tries 0.33 s late). Cause: the signal that lets a stopped process go on ends its wait in the system too, with nothing read; the next wait found the request at once, and pulse.rs took it for what came after the first. Now what is read within 20 ms after a standstill counts from its beginning.

--- a/crates/sender/src/pulse.rs
+++ b/crates/sender/src/pulse.rs
@@ -13,6 +13,10 @@
 /// A wait that ends so long after the beat did not end by itself: the process stood still.
 const STILL: Duration = Duration::from_millis(50);
 
+/// The first wait after a standstill may have ended by the signal that ended it, and have read nothing: what comes in this time
+/// after it may have come as early.
+const AFTER: Duration = Duration::from_millis(20);
+
 /// What a thread's runtime does between what it reads.
 #[derive(Debug, Clone, Copy, Default)]
 struct Pulse {
@@ -21,6 +25,8 @@
     woke: Option<Instant>,
     /// What is read now came no sooner.
     since: Option<Instant>,
+    /// When the process stood still last, and when it went on.
+    still: Option<(Instant, Instant)>,
 }
 
 impl Pulse {
@@ -33,14 +39,14 @@
     /// much is taken off.
     fn wakes(self, now: Instant) -> Self {
         let waited = self.waits.map_or(Duration::ZERO, |waits| now.saturating_duration_since(waits));
-        let since = if waited < AT_ONCE {
-            self.woke
-        } else if waited > BEAT + STILL {
-            self.waits
-        } else {
-            Some(now)
+        let stood = waited > BEAT + STILL;
+        let still = if stood { self.waits.map(|waits| (waits, now)) } else { self.still };
+        let since = match still.filter(|(_, until)| now.saturating_duration_since(*until) < AFTER) {
+            Some((from, _)) => Some(from),
+            None if waited < AT_ONCE => self.woke,
+            None => Some(now),
         };
-        Self { woke: Some(now), since, ..self }
+        Self { woke: Some(now), since, still, ..self }
     }
 
     fn behind(self, now: Instant) -> Duration {
@@ -49,7 +55,7 @@
 }
 
 thread_local! {
-    static PULSE: Cell<Pulse> = const { Cell::new(Pulse { waits: None, woke: None, since: None }) };
+    static PULSE: Cell<Pulse> = const { Cell::new(Pulse { waits: None, woke: None, since: None, still: None }) };
 }
 
 /// Has a runtime's thread note when it waits.
@@ -91,5 +97,9 @@
         assert_eq!(pulse.behind(at(200)), ms(0));
         let pulse = pulse.waits(at(210)).wakes(at(600));
         assert_eq!(pulse.behind(at(600)), ms(390), "no wait takes so long: it stood still");
+        let pulse = pulse.waits(at(601)).wakes(at(601));
+        assert_eq!(pulse.behind(at(601)), ms(391), "the wait before may have read nothing");
+        let pulse = pulse.waits(at(640)).wakes(at(641));
+        assert_eq!(pulse.behind(at(641)), ms(0), "that is over");
     }
 }
