Bind what was taken on by what its class meant then, too

A file that can't be read is told, and what is held then counts as what must not run twice.

Tests: node/endings what_was_taken_on_under_other_settings_is_bound_by_both, both ways; without the effect in driver/begin.rs it fails. meanings' unit tests.

--- a/crates/decision/src/book.rs
+++ b/crates/decision/src/book.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::interface::{DestinationId, EndpointId, Message, MessageId, Micros};
+use crate::interface::{DestinationId, Effect, EndpointId, Message, MessageId, Micros};
 use crate::waiting::{Ticket, Waiting};
 
 /// A message that this sender owes a final answer.
@@ -17,6 +17,9 @@
     /// When it must be answered.
     pub end: Micros,
     pub attempts: u32,
+    /// What repeating it does.
+    #[serde(default = "strictest")]
+    pub effect: Effect,
     /// A restart found it untried.
     #[serde(default)]
     untried: bool,
@@ -29,16 +32,34 @@
     lapses: Option<Micros>,
 }
 
+/// Of a message that a process handed over that does not tell.
+fn strictest() -> Effect {
+    Effect::Once
+}
+
 impl Held {
     /// A message that was just handed in.
     pub fn new(
         message: Message,
         (deadline, aim, end): (Micros, Micros, Micros),
+        effect: Effect,
         repeats: Option<Micros>,
     ) -> Self {
         let may_have_run = Vec::new();
         let (attempts, untried, out, repeatable_for, lapses) = (0, false, 0, repeats, None);
-        Self { message, deadline, aim, end, attempts, untried, out, may_have_run, repeatable_for, lapses }
+        Self {
+            message,
+            deadline,
+            aim,
+            end,
+            attempts,
+            effect,
+            untried,
+            out,
+            may_have_run,
+            repeatable_for,
+            lapses,
+        }
     }
 
     /// Whether it was taken on by an earlier process, and no call was made for it yet.
@@ -88,6 +109,14 @@
         self.held.iter()
     }
 
+    /// The classes have these effects from now on: what was taken on under others is bound by both.
+    pub fn bind(&mut self, effects: &[Effect]) {
+        for held in self.held.values_mut() {
+            held.effect = effects.get(held.message.class).map_or(Effect::Once, |of| of.stricter(held.effect));
+        }
+        self.check.extend(&self.tried);
+    }
+
     /// Holds a message, which waits.
     pub fn insert(&mut self, held: Held) {
         self.ends.insert((held.end, held.message.id));
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -60,6 +60,24 @@
             Self::Repeatable | Self::Once => None,
         }
     }
+
+    /// What a message is bound by to which both applied. Guards what an earlier process took on under other settings.
+    #[must_use]
+    pub fn stricter(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Once, _) | (_, Self::Once) => Self::Once,
+            (Self::Repeatable, other) => other,
+            (this, Self::Repeatable) => this,
+            (Self::Keyed { group, window }, Self::Keyed { group: other, window: until }) => {
+                let group = match (group, other) {
+                    (Group::All, group) | (group, Group::All) => group,
+                    (Group::Zone, Group::Zone) => Group::Zone,
+                    _ => Group::Endpoint,
+                };
+                Self::Keyed { group, window: window.min(until) }
+            }
+        }
+    }
 }
 
 /// How worth falls once the aim has passed.
@@ -357,6 +375,9 @@
         attempts: u32,
         /// Those of them that may have run: how long ago each began, and where.
         may_have_run: Vec<(Micros, EndpointId)>,
+        /// What repeating it did under the settings it was taken on under, where that is known; the stricter of that and
+        /// its class's holds.
+        effect: Option<Effect>,
     },
     /// This process ends at that time; what is left then is picked up by the next one.
     Stopping(Micros),
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -175,7 +175,7 @@
     /// Guards the rule on effects: whether a further attempt at this endpoint can do no harm.
     fn repeat_allowed(&self, held: &Held, endpoint: EndpointId) -> bool {
         let Some(first) = held.may_have_run.iter().min_by_key(|a| a.1) else { return true };
-        match self.settings.classes[held.message.class].effect {
+        match held.effect {
             Effect::Repeatable => true,
             Effect::Once => false,
             Effect::Keyed { group, window } => {
--- a/crates/decision/src/policy/answers.rs
+++ b/crates/decision/src/policy/answers.rs
@@ -10,7 +10,7 @@
     /// The one place for final answers that this sender gives: refused where that is harmless, else failed.
     pub(super) fn answer(&mut self, id: MessageId, retry_after: Micros, actions: &mut Vec<Action>) {
         let Some(held) = self.book.get(&id) else { return };
-        let repeatable = self.settings.classes[held.message.class].effect == Effect::Repeatable;
+        let repeatable = held.effect == Effect::Repeatable;
         actions.push(if held.may_have_run.is_empty() || repeatable {
             Action::Refuse { message: id, retry_after: retry_after.min(self.settings.max_retry_after) }
         } else {
@@ -44,7 +44,7 @@
 
     /// Whether nothing can be tried any more without harm.
     pub(super) fn stuck(&self, held: &Held) -> bool {
-        match self.settings.classes[held.message.class].effect {
+        match held.effect {
             Effect::Once => !held.may_have_run.is_empty(),
             Effect::Keyed { .. } if !held.may_have_run.is_empty() => {
                 !self.endpoints.of(held.message.destination).any(|(e, _)| self.repeat_allowed(held, e))
--- a/crates/decision/src/policy/dispatch.rs
+++ b/crates/decision/src/policy/dispatch.rs
@@ -134,7 +134,7 @@
         let (Some(held), Some(endpoint)) = (self.book.get(&id), self.endpoints.get(&endpoint_id)) else {
             return Verdict::Closed;
         };
-        let class = &self.settings.classes[held.message.class];
+        let (class, effect) = (&self.settings.classes[held.message.class], held.effect);
         let worth = self.worth_at(held, now) * backlog;
         // No message lost, nothing after its end; drains kept; never two attempts at once.
         if now >= held.end || held.attempts >= self.settings.try_limit || held.out > 0 {
@@ -159,14 +159,14 @@
         let Some(route) = self.routes.get_mut(&route_id) else { return Verdict::Closed };
         // Nothing may be out at the end of the process that the next one must not repeat.
         let first = held.may_have_run.iter().map(|a| a.1).min().unwrap_or(now);
-        let binds = |end: &Micros| match class.effect {
+        let binds = |end: &Micros| match effect {
             Effect::Repeatable => false,
             Effect::Once => true,
             Effect::Keyed { window, .. } => end + RESTART >= first + window,
         };
         let until = self.stop_at.filter(binds).unwrap_or(Micros::MAX);
         // Nor may a repeat leave, once its connection is up, so late that its key may be forgotten by there.
-        let leave = match class.effect {
+        let leave = match effect {
             Effect::Keyed { window, .. } if first < now => first + window - way(&self.settings, window),
             _ => Micros::MAX,
         };
@@ -250,11 +250,11 @@
             // What may be repeated is called off once its answer would be most unusual. Guards the slots, and
             // the message's time, against calls that hang or lose their answers one by one. It costs repeats
             // where answer times jump; a destination that is cold or turns calls away gets the aim's time.
-            let patience = if class.effect == Effect::Once { class.aim } else { patience };
+            let patience = if effect == Effect::Once { class.aim } else { patience };
             let timeout = patience.min(last_call - now).min(until - now).max(1);
             // Safe to repeat: nothing is lost with the connection but time.
-            let hold = if class.effect == Effect::Repeatable { 0 } else { HOLD };
-            let fresh = self.fresh_connection(class.effect);
+            let hold = if effect == Effect::Repeatable { 0 } else { HOLD };
+            let fresh = self.fresh_connection(effect);
             let (endpoint, leave_within) = (endpoint_id, timeout.min(leave.saturating_sub(now)));
             actions.push(Action::Attempt { message: id, endpoint, timeout, leave_within, hold, fresh });
         }
--- a/crates/decision/src/policy/fold.rs
+++ b/crates/decision/src/policy/fold.rs
@@ -18,13 +18,13 @@
         for event in events {
             match event {
                 Event::Accepted(message) => {
-                    self.hold(message);
+                    self.hold(message, None);
                     self.shared.iter_mut().for_each(shared::Shared::handed_in);
                     self.taken_on(message, actions);
                     self.recall_hearsay(message.destination);
                 }
-                Event::Resumed { message, attempts, may_have_run } => {
-                    self.resume(message, *attempts, may_have_run);
+                Event::Resumed { message, attempts, may_have_run, effect } => {
+                    self.resume(message, *attempts, may_have_run, *effect);
                     self.recall_hearsay(message.destination);
                 }
                 Event::Stopping(at) => {
@@ -102,14 +102,20 @@
     }
 
     /// A message that outlived the process that took it: what may have run then still binds.
-    fn resume(&mut self, message: &Message, attempts: u32, may_have_run: &[(Micros, EndpointId)]) {
-        self.hold(message);
+    fn resume(
+        &mut self,
+        message: &Message,
+        attempts: u32,
+        may_have_run: &[(Micros, EndpointId)],
+        effect: Option<Effect>,
+    ) {
+        self.hold(message, effect);
         self.routes.wake(message.destination, &self.endpoints, self.now);
         let may_have_run = may_have_run.iter().map(|a| (0, self.now.saturating_sub(a.0), a.1)).collect();
         self.book.resumed(message.id, attempts, may_have_run);
     }
 
-    fn hold(&mut self, message: &Message) {
+    fn hold(&mut self, message: &Message, taken_on_under: Option<Effect>) {
         let Some(class) = self.settings.classes.get(message.class) else { return };
         let deadline = self.now + message.time_left;
         if let Some(rate) = self.tenants.get_mut(message.tenant) {
@@ -123,8 +129,9 @@
         // client sent it is known by when it was read alone. An answer to a call that comes between the two is no end.
         let early = self.settings.rules.answer_slack.min(class.deadline / LEAST_OF_TIME);
         let end = deadline.saturating_sub(early.max(2 * self.settings.period));
-        let repeats = class.effect.window().map(|window| window - margin(&self.settings, window));
-        self.book.insert(Held::new(message.clone(), (deadline, aim, end), repeats));
+        let effect = taken_on_under.map_or(class.effect, |before| before.stricter(class.effect));
+        let repeats = effect.window().map(|window| window - margin(&self.settings, window));
+        self.book.insert(Held::new(message.clone(), (deadline, aim, end), effect, repeats));
     }
 
     fn list(&mut self, entries: &[Entry]) {
--- a/crates/decision/src/policy/oracle.rs
+++ b/crates/decision/src/policy/oracle.rs
@@ -191,8 +191,8 @@
             next += 1;
             let ran = vec![(rng.u64(..2_000_000), endpoint(rng.u8(..18)))];
             events.push(match rng.u8(..20) {
-                0 => Event::Resumed { message, attempts: rng.u32(..4), may_have_run: ran },
-                1 | 2 => Event::Resumed { message, attempts: 0, may_have_run: vec![] },
+                0 => Event::Resumed { message, attempts: rng.u32(..4), may_have_run: ran, effect: None },
+                1 | 2 => Event::Resumed { message, attempts: 0, may_have_run: vec![], effect: None },
                 _ => Event::Accepted(message),
             });
         }
--- a/crates/decision/src/policy/takeover.rs
+++ b/crates/decision/src/policy/takeover.rs
@@ -41,6 +41,8 @@
         policy.routes.settle_under(&settings);
         policy.waking.settle(settings.dormant.map(|dormant| dormant.wakes), settings.slots / 2);
         policy.shared = settings.shared.map(|law| shared::Shared::new(law, seed, now));
+        let effects: Vec<_> = settings.classes.iter().map(|class| class.effect).collect();
+        policy.book.bind(&effects);
         policy.settings = settings;
         policy.rng = fastrand::Rng::with_seed(seed);
         policy.now = policy.now.max(now);
--- a/crates/decision/tests/policy.rs
+++ b/crates/decision/tests/policy.rs
@@ -490,7 +490,7 @@
     let message = s.message(class, None, 20 * SECOND);
     let id = message.id;
     let may_have_run = ran.iter().map(|age| (*age, endpoint(1))).collect();
-    s.tell(vec![Event::Resumed { message, attempts, may_have_run }]);
+    s.tell(vec![Event::Resumed { message, attempts, may_have_run, effect: None }]);
     id
 }
 
@@ -520,7 +520,12 @@
         .map(|_| {
             // Late already.
             let message = s.message(SAFE, None, 10 * SECOND);
-            s.tell(vec![Event::Resumed { message: message.clone(), attempts: 0, may_have_run: vec![] }]);
+            s.tell(vec![Event::Resumed {
+                message: message.clone(),
+                attempts: 0,
+                may_have_run: vec![],
+                effect: None,
+            }]);
             message.id
         })
         .collect();
@@ -536,7 +541,7 @@
     s.tell(vec![Event::Changes(vec![draining])]);
     let message = s.message(SAFE, None, 10 * SECOND);
     let id = message.id;
-    s.tell(vec![Event::Resumed { message, attempts: 1, may_have_run: vec![] }]);
+    s.tell(vec![Event::Resumed { message, attempts: 1, may_have_run: vec![], effect: None }]);
     for _ in 0..64 {
         s.accept(SAFE);
     }
--- a/crates/fleet/src/world.rs
+++ b/crates/fleet/src/world.rs
@@ -492,6 +492,7 @@
             message: message(*id, held, now),
             attempts: held.tries.into(),
             may_have_run: held.unclear.iter().map(|began| (now - began, endpoint(held.partner))).collect(),
+            effect: None,
         }));
         self.tell(sender, &events);
     }
--- a/crates/sender/src/driver.rs
+++ b/crates/sender/src/driver.rs
@@ -28,6 +28,7 @@
 use crate::known::Memory;
 use crate::link::Link;
 use crate::list::{ListBody, Listed};
+use crate::meanings::Meanings;
 use crate::peers::Peers;
 use crate::platform::{self, Notice};
 use crate::ports::{Answer, AttemptOver, Carrier, Clock, Front, Inbound, Pace, Part};
@@ -133,6 +134,8 @@
     joined: bool,
     /// What the process before left untried.
     untried: Untried,
+    /// What binds what was taken on before, by its class.
+    meanings: Arc<Meanings>,
     /// Other cores that wait for the end of this turn.
     when_turned: Vec<oneshot::Sender<()>>,
 }
@@ -171,6 +174,8 @@
     pub memory: Option<Memory>,
     /// What the last process learnt, as far as it is believed.
     pub belief: Belief,
+    /// What binds what was taken on, by its class.
+    pub meanings: Arc<Meanings>,
 }
 
 /// What is left of the first of several cores once all is handed over: for going on after all, and for what the others have.
@@ -267,6 +272,7 @@
         member,
         joined: false,
         untried: Untried::new(&config.settings),
+        meanings: parts.meanings,
         when_turned: Vec::new(),
         policy,
     };
--- a/crates/sender/src/driver/begin.rs
+++ b/crates/sender/src/driver/begin.rs
@@ -159,6 +159,7 @@
         let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
         self.attempts.insert(number, attempts);
         let message = message(number, class, &live.taken, now);
-        Some(Event::Resumed { message, attempts: attempts.into(), may_have_run })
+        let effect = self.meanings.get(&*live.taken.class).copied();
+        Some(Event::Resumed { message, attempts: attempts.into(), may_have_run, effect })
     }
 }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -16,6 +16,7 @@
 mod link;
 mod list;
 mod look;
+mod meanings;
 pub mod peers;
 pub mod platform;
 pub mod ports;
--- /dev/null
+++ b/crates/sender/src/meanings.rs
@@ -0,0 +1,103 @@
+//! What repeating a message of each class does to what is in the journal, in the folder that outlasts the process: the journal
+//! keeps a class's name, and the next process's settings may mean something else by it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use decision::interface::{Effect, Group, Micros};
+
+const FILE: &str = "classes";
+const NEW: &str = "classes.new";
+/// Bytes that the file may have.
+const ROOM: usize = 8 * 1024;
+/// The disk counts whole blocks.
+const BLOCK: u64 = 512;
+
+/// Effects of classes, by their names.
+pub type Meanings = BTreeMap<String, Effect>;
+
+/// What binds messages that are held, of these classes: the stricter of what they were taken on under and what the settings
+/// say now. One whose class was never written down is bound by the settings alone, as in the versions before.
+pub fn joined(before: &Meanings, now: &Meanings, held: &BTreeSet<String>) -> Meanings {
+    let joined = |(name, effect): (&String, &Effect)| {
+        let before = before.get(name).filter(|_| held.contains(name));
+        (name.clone(), before.map_or(*effect, |before| before.stricter(*effect)))
+    };
+    now.iter().map(joined).collect()
+}
+
+/// What is kept free on the disk for classes of these names, in whole blocks. While the file is written anew there are two.
+pub fn reserved<'a>(names: impl Iterator<Item = &'a str>) -> u64 {
+    let widest = Effect::Keyed { group: Group::Endpoint, window: Micros::MAX };
+    let all: Meanings = names.map(|name| (name.to_owned(), widest)).collect();
+    let length = serde_json::to_vec(&all).map_or(ROOM, |text| text.len().min(ROOM));
+    2 * (length as u64).next_multiple_of(BLOCK)
+}
+
+/// Reads what the last process wrote; without a file nothing is known.
+///
+/// # Errors
+/// Fails when the file can't be read: tells why.
+pub fn read(state: &Path) -> Result<Meanings, String> {
+    let path = state.join(FILE);
+    match fs::read(&path) {
+        Ok(text) => serde_json::from_slice(&text).map_err(|e| {
+            format!("{}: {e}; what was taken on is held to be what must not run twice", path.display())
+        }),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(Meanings::new()),
+        Err(e) => Err(format!("{}: {e}", path.display())),
+    }
+}
+
+/// Writes it in the place of what stood there; a process that ends within leaves the one or the other.
+///
+/// # Errors
+/// Fails when it can't be written, or is too long; then the old one holds.
+pub fn write(state: &Path, meanings: &Meanings) -> Result<(), String> {
+    let text = serde_json::to_vec(meanings).map_err(|e| e.to_string())?;
+    if text.len() > ROOM {
+        return Err(format!("{}: the classes' names take over {ROOM} bytes", state.join(FILE).display()));
+    }
+    let write = || {
+        fs::write(state.join(NEW), &text)?;
+        fs::rename(state.join(NEW), state.join(FILE))
+    };
+    write().map_err(|e| format!("{}: {e}", state.join(FILE).display()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_held_is_bound_by_both_and_what_is_not_by_the_settings_alone() {
+        let keyed = |window| Effect::Keyed { group: Group::All, window };
+        let map = |of: &[(&str, Effect)]| of.iter().map(|(n, e)| ((*n).to_owned(), *e)).collect::<Meanings>();
+        let before =
+            map(&[("a", Effect::Once), ("b", keyed(5)), ("c", Effect::Once), ("gone", Effect::Once)]);
+        let now =
+            map(&[("a", Effect::Repeatable), ("b", keyed(9)), ("c", keyed(3)), ("new", Effect::Repeatable)]);
+        let held = ["a", "b", "gone", "new"].map(str::to_owned).into();
+        let joined = joined(&before, &now, &held);
+        let expected = [("a", Effect::Once), ("b", keyed(5)), ("c", keyed(3)), ("new", Effect::Repeatable)];
+        assert_eq!(joined, map(&expected));
+    }
+
+    #[test]
+    fn it_is_read_as_it_was_written_and_says_what_is_wrong_with_it() {
+        let folder = tempfile::tempdir().unwrap();
+        assert_eq!(read(folder.path()), Ok(Meanings::new()));
+        let keyed = Effect::Keyed { group: Group::Zone, window: 7 };
+        let meanings: Meanings = [("a".to_owned(), keyed), ("b".to_owned(), Effect::Once)].into();
+        write(folder.path(), &meanings).unwrap();
+        let length = fs::metadata(folder.path().join(FILE)).unwrap().len();
+        assert!(reserved(["a", "b"].into_iter()) >= 2 * length.next_multiple_of(BLOCK));
+        assert_eq!(read(folder.path()), Ok(meanings));
+        fs::write(folder.path().join(FILE), "{").unwrap();
+        assert!(read(folder.path()).unwrap_err().contains("classes: "));
+        let long: Meanings = [("x".repeat(ROOM), Effect::Once)].into();
+        assert!(write(folder.path(), &long).unwrap_err().contains("over 8192 bytes"));
+    }
+}
--- a/crates/sender/src/process.rs
+++ b/crates/sender/src/process.rs
@@ -29,6 +29,7 @@
 use crate::kept;
 use crate::known::{self, Keeping};
 use crate::link::Link;
+use crate::meanings::{self, Meanings};
 use crate::peers::Peers;
 use crate::ports::{Carrier, Clock, Front, Inbound};
 use crate::pulse;
@@ -62,7 +63,10 @@
         operators::Damage::Suspect => journal::Damage::Suspect,
     };
     journal::Options {
-        limit: if config.ops.is_some() { config.disk.saturating_sub(kept::RESERVED) } else { config.disk },
+        limit: config
+            .disk
+            .saturating_sub(if config.ops.is_some() { kept::RESERVED } else { 0 })
+            .saturating_sub(meanings::reserved(config.names.classes.iter().map(String::as_str))),
         sync: table.sync == operators::Sync::Group,
         damage,
         retain,
@@ -113,6 +117,24 @@
     }
 }
 
+/// What binds what was taken on, by its class, and is written down for the next process before this one takes anything on.
+fn meanings(config: &Config, journal: &Journal) -> Meanings {
+    let effects = config.settings.classes.iter().map(|class| class.effect);
+    let now: Meanings = config.names.classes.iter().cloned().zip(effects).collect();
+    let before = meanings::read(&config.state).unwrap_or_else(|e| {
+        eprintln!("{e}");
+        now.keys().map(|name| (name.clone(), Effect::Once)).collect()
+    });
+    let held = journal.live().values().map(|live| live.taken.class.to_string()).collect();
+    let joined = meanings::joined(&before, &now, &held);
+    if joined != before
+        && let Err(e) = meanings::write(&config.state, &joined)
+    {
+        eprintln!("what the classes mean can't be written down for the next process: {e}");
+    }
+    joined
+}
+
 /// What another process knew, if this one can read it.
 fn understood(config: &Config, state: &State, now: Micros) -> Option<Policy> {
     let names = &config.names;
@@ -229,6 +251,7 @@
     set_back: bool,
     /// Its requests are counted from there.
     requests: u64,
+    meanings: Arc<Meanings>,
 }
 
 impl Beside {
@@ -272,6 +295,7 @@
                 set_back: self.set_back,
                 memory: None,
                 belief: Belief::default(),
+                meanings: self.meanings,
             };
             driver::run(&self.config, parts, inbound, &mut events).await.map(drop)
         })
@@ -290,6 +314,7 @@
 ) -> Result<(), String> {
     let beside = inherited.is_some();
     let (journal, told) = begin(&config, operators, beside).await?;
+    let meanings = Arc::new(meanings(&config, &journal));
     let aim = config.settings.classes.iter().map(|class| class.aim).min().unwrap_or(0);
     let sync = operators.journal.sync == operators::Sync::Group;
     let keeping = Keeping::of(&operators.known, config.disk, sync, aim);
@@ -343,6 +368,7 @@
                     waits: waits.clone(),
                     set_back,
                     requests: u64::from(core.0) << 40,
+                    meanings: meanings.clone(),
                 };
                 beside.start()?;
             }
@@ -390,6 +416,7 @@
             set_back: std::mem::take(&mut set_back),
             memory,
             belief,
+            meanings: meanings.clone(),
         };
         let (successor, state, so_far, left) =
             match driver::run(&config, parts, inbound.clone(), &mut events).await? {
--- a/crates/sender/tests/node/endings.rs
+++ b/crates/sender/tests/node/endings.rs
@@ -226,6 +226,38 @@
     call.reply(status(200));
 }
 
+/// Guards an effect against a class that means something else to the next process: what was taken on is bound by what it was
+/// taken on under and by what the settings say now, whichever is stricter; a new message by the settings alone.
+#[test]
+fn what_was_taken_on_under_other_settings_is_bound_by_both() {
+    for [before, after] in [["once", "repeatable"], ["repeatable", "once"]] {
+        let (platform, endpoint) = (Platform::new(), Served::new());
+        let known = [listing("e1", 7, "plain", endpoint.address)];
+        let node = Node::start(&program(), &platform, &known, |config| {
+            config["settings"]["classes"][1]["effect"] = json!(before);
+        });
+        assert_eq!(node.hand_in("old", "order", 7, 20_000).status(), 202);
+        let _called = endpoint.next();
+        let mut configuration = node.configuration();
+        configuration["settings"]["classes"][1]["effect"] = json!(after);
+        node.reconfigure(&configuration.to_string());
+        let node = node.kill_and_restart();
+        assert_eq!(platform.notice(204), [json!({"id": "old", "status": "undeliverable"})], "{before}");
+        // What comes now is the settings'.
+        assert_eq!(node.hand_in("new", "order", 7, 20_000).status(), 202);
+        let call = endpoint.next();
+        assert_eq!(call.http.headers["req-id"], "new");
+        call.reply(Reply::Close);
+        if after == "repeatable" {
+            let again = endpoint.next();
+            assert_eq!(again.http.headers["req-id"], "new", "it may run twice");
+            again.reply(status(200));
+        } else {
+            assert_eq!(platform.notice(204), [json!({"id": "new", "status": "undeliverable"})]);
+        }
+    }
+}
+
 /// Guards a message's end against an answer that lies unread as its time runs out, and a call's against one that comes as it is
 /// not waited for any more: stopped, the process finds the answer and the end at once.
 #[test]
