--- a/crates/rig/src/endings.rs
+++ b/crates/rig/src/endings.rs
@@ -81,19 +81,20 @@
     came: Came,
 }
 
-impl Lane {
-    fn listings(&self, drained: Option<usize>) -> Vec<Value> {
-        let entry = |(at, partner): (usize, &Partner)| {
-            let (name, destination) = (format!("e{at}"), FIRST + at as u16);
-            if drained == Some(at) {
-                leaving(&name, destination)
-            } else {
-                listing(&name, destination, if at == 2 { "bulk" } else { "plain" }, partner.address)
-            }
-        };
-        self.partners.iter().enumerate().map(entry).collect()
-    }
+/// The list, with one of them draining.
+fn listings(partners: &[Partner], drained: Option<usize>) -> Vec<Value> {
+    let entry = |(at, partner): (usize, &Partner)| {
+        let (name, destination) = (format!("e{at}"), FIRST + at as u16);
+        if drained == Some(at) {
+            leaving(&name, destination)
+        } else {
+            listing(&name, destination, if at == 2 { "bulk" } else { "plain" }, partner.address)
+        }
+    };
+    partners.iter().enumerate().map(entry).collect()
+}
 
+impl Lane {
     /// Counts what the process said of what it found untried.
     fn count_untried(&mut self) {
         for line in
@@ -156,9 +157,9 @@
             }
             Ending::Drained => {
                 let drained = self.rng.usize(..self.partners.len());
-                self.platform.tell(&self.listings(Some(drained)));
+                self.platform.tell(&listings(&self.partners, Some(drained)));
                 std::thread::sleep(moment);
-                self.platform.tell(&self.listings(None));
+                self.platform.tell(&listings(&self.partners, None));
                 self
             }
             Ending::Mood(at) => {
@@ -177,13 +178,7 @@
     let notices = Notices::keep(&mut platform);
     let well = |ms| Mood::Well(Duration::from_millis(ms));
     let partners = vec![Partner::new(well(5)), Partner::new(well(60)), Partner::new(well(20))];
-    let endpoints: Vec<_> = partners
-        .iter()
-        .enumerate()
-        .map(|(at, p)| {
-            listing(&format!("e{at}"), FIRST + at as u16, if at == 2 { "bulk" } else { "plain" }, p.address)
-        })
-        .collect();
+    let endpoints = listings(&partners, None);
     let node = Node::start(&program(), &platform, &endpoints, |config| {
         config["settings"]["family_info"]["calls_out"] = json!(16);
         config["settings"]["limits"]["max_open"] = json!(60);
