--- a/review/stand-ins/case-3.rs
+++ b/review/stand-ins/case-3.rs
@@ -17,6 +17,8 @@
 /// A change counts as told 6 s after discovery had it and could be reached, and what discovery has to tell 4 s after SIGHUP.
 const TOLD_AT: f64 = LEFT_AT + 6.0;
 const GRACE: f64 = 2.0;
+/// A sender may be held up for 0.15 s, and each time limit on sockets is 50 ms longer.
+const SLACK: f64 = 0.2;
 /// s-9, an endpoint of partner 9, starts at the address of s-2: well after the grace.
 const REPLACED_AT: f64 = TOLD_AT + GRACE + 2.5;
 const ENDS_AT: f64 = 24.0;
@@ -105,22 +107,25 @@
 
     let all = calls.all();
     let foreign: Vec<_> = all.iter().filter(|call| call.endpoint == "s-9").collect();
-    let late = all.iter().filter(|call| call.endpoint == "s-2" && call.at > TOLD_AT + GRACE + 0.2).count();
-    record.note(format!("calls to s-2 later than its grace: {late}"));
-    let code = match foreign.first() {
+    let late: Vec<_> =
+        all.iter().filter(|call| call.endpoint == "s-2" && call.at > TOLD_AT + GRACE + SLACK).collect();
+    let code = match late.first().or(foreign.first()) {
         _ if ended.is_some() || all.len() < 100 => {
             record.say(format!("could not run: {} calls, the sender ended: {ended:?}", all.len()));
             COULD_NOT_RUN
         }
         Some(call) => {
             record.say(format!(
-                "broken: {} payment orders for partner 7 ran at s-9 of partner 9, the first {:.1} s after discovery listed s-2 no longer; {late} more came to s-2 after its grace",
-                foreign.len(), call.at - LEFT_AT
+                "broken: {} calls came to s-2 after its grace, the first {:.1} s after discovery listed it no longer; \
+                 then {} payment orders for partner 7 ran at s-9 of partner 9, at the same address",
+                late.len(),
+                call.at - LEFT_AT,
+                foreign.len()
             ));
             BROKEN
         }
         None => {
-            let last = all.iter().filter(|call| call.endpoint == "s-2").last().map_or(0.0, |call| call.at);
+            let last = all.iter().rfind(|call| call.endpoint == "s-2").map_or(0.0, |call| call.at);
             record.say(format!(
                 "held: the last call came to s-2 {:.1} s after discovery listed it no longer",
                 last - LEFT_AT
