Review: a case's script ends within 110 s and takes its processes with it when told to end

Cause: nothing held a script to its 120 s if a case hung, and a script that got SIGTERM left its case running to its own end and its temporary folder behind.

Change: run-case.sh runs the case under a limit and ends it on TERM, INT and HUP.

--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -13,7 +13,11 @@
     exit 2
 fi
 unset NODE_NAME NODE_LISTEN NODE_DISCOVERY NODE_OPS NODE_LISTEN_FD NODE_CONFIG NODE_STATE
-"$here/bin/case-$1"
+# A case that hangs is ended after 110 s, and one whose script is told to end ends with it. The sender ends with its case.
+timeout -s KILL 110 "$here/bin/case-$1" &
+case_pid=$!
+trap 'kill "$case_pid" 2>/dev/null; wait "$case_pid"; rm -rf "$TMPDIR"; exit 2' TERM INT HUP
+wait "$case_pid"
 code=$?
 rm -rf "$TMPDIR"
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
