A message that has ended is not sent again under its Req-Id

Cause: an id was known only while its message was pending; the ledger of outcomes existed only with an operators' file, was asked by the class of the repeated submission, and did not know outcomes whose record was not written.

Ends by either notification are in it. At the bound new messages are rejected with Retry-After and a line in the log.

--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -39,5 +39,6 @@
 pub use shards::JournalPart;
 pub use state::ByNumber;
 pub use store::{
-    Capacity, Damage, Figures, Journal, LedgerOptions, Options, SLICE_BYTES, SLICE_MESSAGES, SLICE_TRUNCATION,
+    Capacity, Damage, Figures, Journal, LedgerOptions, Options, SLICE_BYTES, SLICE_MESSAGES,
+    SLICE_TRUNCATION, Shortage,
 };
--- a/crates/journal/src/open.rs
+++ b/crates/journal/src/open.rs
@@ -14,9 +14,6 @@
 use crate::segment::{Segment, StoredFile, parse_sequence, size_on_disk};
 use crate::store::{Damage, Journal, Options};
 
-/// The ledger's size is at most the journal's limit divided by this.
-const MAX_LEDGER_SHARE: u64 = 4;
-
 /// What an operator should know about the opening of a journal.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OpenReport {
@@ -74,7 +71,7 @@
         options: Options,
         now: Micros,
     ) -> Result<(Self, OpenReport), OpenError> {
-        if options.ledger_limit() > options.limit / MAX_LEDGER_SHARE {
+        if options.ledger_limit() > Options::max_ledger_bytes(options.limit) {
             return Err(OpenError::LedgerTooLarge);
         }
         let newest = if options.sync { Successor::NoneUnordered } else { Successor::NoneInOrder };
--- a/crates/journal/src/shards.rs
+++ b/crates/journal/src/shards.rs
@@ -13,7 +13,7 @@
 use crate::error::{AppendError, JournalClosed};
 use crate::record::{AcceptedMessage, LedgerEntry, Micros, PendingMessage, Record};
 use crate::state::{ByNumber, State, reserved_size};
-use crate::store::{Capacity, Journal};
+use crate::store::{Capacity, Journal, Shortage};
 
 /// Message numbers that a shard reserves at a time.
 const NUMBER_BLOCK: u32 = 256;
@@ -167,11 +167,11 @@
         reserved_size(message) + self.state.ledger_size(message)
     }
 
-    /// As [`Journal::has_capacity`] as of the last append of any shard. Messages that other shards have admitted since
+    /// As [`Journal::shortage`] as of the last append of any shard. Messages that other shards have admitted since
     /// are not counted, so that an append may still reach the limit.
-    pub fn has_capacity(&self, message: &AcceptedMessage, pending: u64) -> bool {
+    pub fn shortage(&self, message: &AcceptedMessage, pending: u64) -> Option<Shortage> {
         let ledger_size = self.state.ledger_size(message);
-        lock(&self.shared.capacity).admits(self.space_needed(message), ledger_size, pending)
+        lock(&self.shared.capacity).shortage(self.space_needed(message), ledger_size, pending)
     }
 
     /// Whether the ledger keeps the outcomes of this class.
--- a/crates/journal/src/store/capacity.rs
+++ b/crates/journal/src/store/capacity.rs
@@ -31,11 +31,20 @@
     pub compacted: u64,
 }
 
+/// The limit that a further message would exceed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shortage {
+    /// The space for pending messages and their outcomes.
+    Disk,
+    /// The space of the ledger. It is free again once older entries have expired.
+    Ledger,
+}
+
 /// The capacity of a journal for further messages at a point in time. All values are in bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Capacity {
     limit: u64,
-    /// Bytes reserved for pending messages, and the ledger's share.
+    /// Bytes reserved for pending messages and their ledger entries, and those that the ledger occupies.
     reserved: u64,
     /// Bytes that the files occupy, that pending messages may still write, and that compaction needs.
     committed: u64,
@@ -44,15 +53,17 @@
 }
 
 impl Capacity {
-    /// Returns whether a message fits that needs `size` bytes, `ledger_size` of them for its ledger entry, given that
-    /// `pending` bytes are already reserved for messages that are not appended yet.
-    pub fn admits(&self, size: u64, ledger_size: u64, pending: u64) -> bool {
+    /// Returns the limit that a message would exceed which needs `size` bytes, `ledger_size` of them for its ledger
+    /// entry, given that `pending` bytes are already reserved for messages that are not appended yet.
+    pub fn shortage(&self, size: u64, ledger_size: u64, pending: u64) -> Option<Shortage> {
+        // The space of the ledger entry is reserved for each pending message of the ledger's classes, so that no entry
+        // is dropped early. At the limit new messages of these classes are rejected until older entries have expired.
+        if ledger_size > 0 && ledger_size > self.ledger_free {
+            return Some(Shortage::Ledger);
+        }
         let reserved = self.reserved + pending + size;
         let committed = self.committed + pending + size;
-        // Reserves the space of the ledger entry for each pending message of the ledger's classes, so that no entry is
-        // dropped early. At the limit new messages of these classes are rejected until older entries have expired.
-        let ledger_fits = ledger_size == 0 || ledger_size <= self.ledger_free;
-        reserved <= self.limit / 2 && committed <= self.limit && ledger_fits
+        (reserved > self.limit / 2 || committed > self.limit).then_some(Shortage::Disk)
     }
 }
 
@@ -78,17 +89,23 @@
     /// Returns whether a further message can be stored until its outcome, given that `pending` bytes are already
     /// reserved for messages that are not appended yet.
     pub fn has_capacity(&self, message: &AcceptedMessage, pending: u64) -> bool {
-        self.capacity().admits(self.space_needed(message), self.state.ledger_size(message), pending)
+        self.shortage(message, pending).is_none()
+    }
+
+    /// Returns the limit because of which a further message can't be stored until its outcome; see
+    /// [`Journal::has_capacity`].
+    pub fn shortage(&self, message: &AcceptedMessage, pending: u64) -> Option<Shortage> {
+        self.capacity().shortage(self.space_needed(message), self.state.ledger_size(message), pending)
     }
 
     /// The capacity for further messages.
     pub fn capacity(&self) -> Capacity {
-        let ledger_limit = self.options.ledger_limit();
+        let ledger_reserved = self.state.ledger_reserved_bytes();
         Capacity {
             limit: self.options.limit,
-            reserved: self.state.reserved_bytes() + ledger_limit,
+            reserved: self.state.reserved_bytes() + ledger_reserved,
             committed: self.committed_bytes(),
-            ledger_free: ledger_limit.saturating_sub(self.state.ledger_reserved_bytes()),
+            ledger_free: self.options.ledger_limit().saturating_sub(ledger_reserved),
         }
     }
 
@@ -108,7 +125,8 @@
 
     /// Bytes that the files occupy, that pending messages may still write, and that compaction needs.
     pub(super) fn committed_bytes(&self) -> u64 {
-        let later_records = self.live().len() as u64 * LATER_RECORDS_SIZE;
+        let ledger_entries = self.state.ledger_reserved_bytes() - self.state.ledger_bytes();
+        let later_records = self.live().len() as u64 * LATER_RECORDS_SIZE + ledger_entries;
         let compaction_space = 2 * self.options.segment_length();
         self.used_bytes + later_records + compaction_space
     }
--- a/crates/journal/src/store/mod.rs
+++ b/crates/journal/src/store/mod.rs
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::fmt;
 
-pub use capacity::{Capacity, Figures};
+pub use capacity::{Capacity, Figures, Shortage};
 pub use options::{Damage, LedgerOptions, Options};
 
 use compaction::Cursor;
--- a/crates/journal/src/store/options.rs
+++ b/crates/journal/src/store/options.rs
@@ -42,6 +42,13 @@
     const MIN_SEGMENT_LENGTH: u64 = 4 << 10;
     const MAX_SEGMENT_LENGTH: u64 = 16 << 20;
     const SEGMENTS_PER_LIMIT: u64 = 16;
+    /// The ledger's size is at most the journal's limit divided by this.
+    const MAX_LEDGER_SHARE: u64 = 4;
+
+    /// Most bytes that a ledger may be given in a journal with this limit.
+    pub fn max_ledger_bytes(limit: u64) -> u64 {
+        limit / Self::MAX_LEDGER_SHARE
+    }
 
     /// Length in bytes at which a new segment is started.
     pub(crate) fn segment_length(&self) -> u64 {
--- a/crates/sender/src/event_loop/iteration.rs
+++ b/crates/sender/src/event_loop/iteration.rs
@@ -66,6 +66,9 @@
                 self.reject_unwritten(records, submissions, &attempts);
             }
         }
+        if self.unwritten_records.is_empty() {
+            self.unwritten_outcomes.clear();
+        }
         self.recovery_report.take_summary().into_iter().for_each(|summary| eprintln!("{summary}"));
         self.compact(now);
     }
@@ -189,10 +192,23 @@
 
     /// Logs a journal failure, at most once a second: the operation is repeated in every iteration.
     fn warn_journal(&mut self, operation: &str, error: &dyn std::fmt::Display) {
+        self.log_journal_warning(|| format!("the journal can't be {operation}: {error}"));
+    }
+
+    /// Logs that new messages are rejected because no further outcome can be kept.
+    pub(super) fn warn_ledger_full(&mut self) {
+        self.log_journal_warning(|| {
+            "the ledger of outcomes is full, new messages are rejected until older outcomes have expired"
+                .to_owned()
+        });
+    }
+
+    /// Logs a warning about the journal, at most one a second.
+    fn log_journal_warning(&mut self, warning: impl FnOnce() -> String) {
         let now = self.clock.now();
         if now >= self.next_journal_warning_at {
             self.next_journal_warning_at = now + JOURNAL_WARNING_INTERVAL;
-            eprintln!("the journal can't be {operation}: {error}");
+            eprintln!("{}", warning());
         }
     }
 }
--- a/crates/sender/src/event_loop/messages.rs
+++ b/crates/sender/src/event_loop/messages.rs
@@ -2,7 +2,7 @@
 
 use admin::metrics::FinalOutcome;
 use decision::interface::{DestinationId, Event, Message, MessageId, Micros, Outcome};
-use journal::{Abandonment, AcceptedMessage, LedgerEntry, Record};
+use journal::{Abandonment, AcceptedMessage, LedgerEntry, Record, Shortage};
 
 use super::{EventLoop, NO_REQUEST, PendingSubmission, RETRY_AFTER_JOURNAL_FULL, RETRY_AFTER_UNLISTED};
 use crate::notifications::Notification;
@@ -24,6 +24,12 @@
             }
             return;
         }
+        // The message of this id has completed. It must not be sent again, whatever the repeated submission's class,
+        // destination and body are: the answer is the outcome.
+        if let Some(outcome) = self.outcome(&message.id) {
+            let _ = answer.send(outcome);
+            return;
+        }
         // A message for a destination that no list has named would only use up capacity. The client is asked to retry,
         // since the first list with a new destination may be about to arrive.
         if !self.directory.names_destination(message.destination) {
@@ -31,16 +37,12 @@
             let _ = answer.send(Answer::Rejected(RETRY_AFTER_UNLISTED));
             return;
         }
-        // A second delivery under the same id is prevented: the answer is the recorded outcome.
-        if self.journal.retains(&message.class)
-            && let Some(entry) = self.journal.ledger_entry(&message.id, self.clock.now())
-        {
-            let _ = answer.send(if entry.delivered { Answer::Delivered } else { Answer::Failed });
-            return;
-        }
         let pending_bytes: u64 =
             self.submissions.values().map(|pending| self.journal.space_needed(&pending.message)).sum();
-        if !self.journal.has_capacity(&message, pending_bytes) {
+        if let Some(shortage) = self.journal.shortage(&message, pending_bytes) {
+            if shortage == Shortage::Ledger {
+                self.warn_ledger_full();
+            }
             self.outcome_counts.count(&message.class, FinalOutcome::Throttled);
             let _ = answer.send(Answer::Rejected(RETRY_AFTER_JOURNAL_FULL));
             return;
@@ -55,6 +57,18 @@
         self.submissions.insert(number, PendingSubmission { message, waiters: vec![(request, answer)] });
     }
 
+    /// Returns the answer to a repeated submission of a message that has completed, as long as its outcome is kept. The
+    /// record of the outcome may not be written yet: both may arrive in one iteration.
+    fn outcome(&self, id: &str) -> Option<Answer> {
+        let now = self.clock.now();
+        let delivered = self
+            .unwritten_outcomes
+            .get(id)
+            .copied()
+            .or_else(|| self.journal.ledger_entry(id, now).map(|entry| entry.delivered))?;
+        Some(if delivered { Answer::Delivered } else { Answer::Failed })
+    }
+
     /// Returns a message number that is not in use, or none while another process has the journal that the shards
     /// share.
     fn assign_number(&mut self) -> Option<u32> {
@@ -126,15 +140,15 @@
         }
     }
 
-    /// Records that a message is completed. If its class has a ledger and the message may have taken effect, its
-    /// outcome goes into the ledger, since it must not take effect again. A message that was rejected may be
-    /// submitted again.
+    /// Records that a message is completed. If its class has a ledger, its outcome goes into the ledger, since the
+    /// message must not be sent again. A message whose client withdrew it before any attempt may be submitted again.
     pub(super) fn complete(&mut self, number: u32, delivered: bool) {
         if let Some(pending) = self.journal.live().get(&number)
             && self.journal.retains(&pending.message.class)
-            && (delivered || pending.may_have_run() || pending.abandoned == Some(Abandonment::Undeliverable))
+            && (delivered || pending.may_have_run() || pending.abandoned.is_some())
         {
             let (id, at) = (pending.message.id.clone(), self.clock.now());
+            self.unwritten_outcomes.insert(id.clone(), delivered);
             self.unwritten_records.push(Record::LedgerEntry(LedgerEntry { id, delivered, at }));
         }
         self.unwritten_records.push(Record::Completed(number));
--- a/crates/sender/src/event_loop/mod.rs
+++ b/crates/sender/src/event_loop/mod.rs
@@ -130,6 +130,8 @@
     /// Records that are not written yet: those of this iteration, and those of an append that failed. No client
     /// was answered and no call started on the basis of them.
     unwritten_records: Vec<Record>,
+    /// Whether each message was delivered whose outcome is among the unwritten records, by `Req-Id`.
+    unwritten_outcomes: HashMap<String, bool>,
     /// The earliest time at which a journal failure is logged again.
     next_journal_warning_at: Micros,
     /// Notifications that wait until their records are written.
--- a/crates/sender/src/event_loop/startup.rs
+++ b/crates/sender/src/event_loop/startup.rs
@@ -102,6 +102,7 @@
             attempts: HashMap::new(),
             submissions: BTreeMap::new(),
             unwritten_records: Vec::new(),
+            unwritten_outcomes: HashMap::new(),
             next_journal_warning_at: 0,
             pending_notifications: Vec::new(),
             shard: parts.shard,
--- a/crates/sender/src/persistence/journal.rs
+++ b/crates/sender/src/persistence/journal.rs
@@ -5,6 +5,7 @@
 use decision::interface::Micros;
 use journal::{
     AcceptedMessage, AppendError, ByNumber, Journal, JournalPart, LedgerEntry, PendingMessage, Record,
+    Shortage,
 };
 
 /// The journal of an event loop.
@@ -35,11 +36,11 @@
         }
     }
 
-    /// As [`Journal::has_capacity`].
-    pub fn has_capacity(&self, message: &AcceptedMessage, pending: u64) -> bool {
+    /// As [`Journal::shortage`].
+    pub fn shortage(&self, message: &AcceptedMessage, pending: u64) -> Option<Shortage> {
         match self {
-            Self::Exclusive(journal) => journal.has_capacity(message, pending),
-            Self::Sharded(journal_part) => journal_part.has_capacity(message, pending),
+            Self::Exclusive(journal) => journal.shortage(message, pending),
+            Self::Sharded(journal_part) => journal_part.shortage(message, pending),
         }
     }
 
--- a/crates/sender/src/process/journal.rs
+++ b/crates/sender/src/process/journal.rs
@@ -6,7 +6,7 @@
 use decision::policy::Policy;
 use handover::HandoverState;
 use handover::step::{self, JournalOwner, StartupStep};
-use journal::{Journal, OpenError};
+use journal::{Journal, LedgerOptions, OpenError};
 use operator_config::Operators;
 
 use crate::config::Config;
@@ -19,30 +19,47 @@
 /// Interval between attempts to open a journal that another process has.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Returns the journal's options. Its size limit is the disk quota without the space reserved for other files.
-fn journal_options(config: &Config, operators: &Operators) -> journal::Options {
+/// How long the outcome of a message is kept, at least, if the operators' file sets no other time. A submission with the
+/// same id may lie unread on its connection, behind others, for some seconds after the message has completed.
+const OUTCOME_SPAN: Micros = 30_000_000;
+
+/// Returns the ledger by which a repeated submission is recognised after its message has completed: as the operators' file
+/// says, else one of all classes for [`OUTCOME_SPAN`] or the longest deadline. `limit` is the journal's.
+fn ledger_options(config: &Config, operators: &Operators, limit: u64) -> LedgerOptions {
     let table = &operators.journal;
-    let retain = table.retain.zip(table.ledger).map(|(span, size)| {
+    if let Some((span, size)) = table.retain.zip(table.ledger) {
         let classes = config.names.classes.iter().zip(&config.settings.classes);
         let non_idempotent = classes.filter(|(_, class)| class.idempotency == Idempotency::NonIdempotent);
-        journal::LedgerOptions {
+        return LedgerOptions {
             span: span.micros,
             bytes: size.bytes,
             classes: non_idempotent.map(|(name, _)| name.clone()).collect(),
-        }
-    });
+        };
+    }
+    let longest_deadline = config.settings.classes.iter().map(|class| class.deadline).max();
+    LedgerOptions {
+        span: longest_deadline.unwrap_or(0).max(OUTCOME_SPAN),
+        bytes: journal::Options::max_ledger_bytes(limit),
+        classes: config.names.classes.clone(),
+    }
+}
+
+/// Returns the journal's options. Its size limit is the disk quota without the space reserved for other files.
+fn journal_options(config: &Config, operators: &Operators) -> journal::Options {
+    let table = &operators.journal;
     let damage = match table.damage {
         operator_config::Damage::Refuse => journal::Damage::Refuse,
         operator_config::Damage::Suspect => journal::Damage::Suspect,
     };
+    let limit = config
+        .disk
+        .saturating_sub(if config.ops.is_some() { ejections::RESERVED_BYTES } else { 0 })
+        .saturating_sub(class_idempotency::reserved(config.names.classes.iter().map(String::as_str)));
     journal::Options {
-        limit: config
-            .disk
-            .saturating_sub(if config.ops.is_some() { ejections::RESERVED_BYTES } else { 0 })
-            .saturating_sub(class_idempotency::reserved(config.names.classes.iter().map(String::as_str))),
+        limit,
         sync: table.sync == operator_config::Sync::Group,
         damage,
-        retain,
+        retain: Some(ledger_options(config, operators, limit)),
         segment: None,
     }
 }
--- a/crates/sender/tests/node/main.rs
+++ b/crates/sender/tests/node/main.rs
@@ -11,6 +11,7 @@
 mod journal;
 mod lost_connections;
 mod malformed_requests;
+mod repeated_ids;
 mod robustness;
 mod slow_connects;
 
