A second copy of an answer is not taken for the answer to the next call

Cause: bytes before the last byte of a call are noticed, a copy that arrives after it was read as the answer to the call (http/client.rs, `call`). The copy of a 503, 429, 504 or of a batch answer with `later` proved that the call had not run. The copy of any answer shifted the answers on the connection by one: the rejection of one message was read as that of the next. A 429 with further bytes behind it was dropped together with its Retry-After.

Reproduced first, with an endpoint that writes whole answers a second time at chosen instants (test-doubles, CopyingPartner).

Change (http/connection_reuse.rs): a connection is closed after an answer that proves for any message that it did not run, and after an answer that equals the one before it. The Retry-After of an answer with further bytes behind it is obeyed.

--- a/crates/sender/src/http/client.rs
+++ b/crates/sender/src/http/client.rs
@@ -18,7 +18,8 @@
 use tokio::sync::{mpsc::UnboundedSender, oneshot};
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::connection::{BODY_TIMEOUT, Connection, ExchangeError, SendPermit, Traffic};
+use super::connection::{BODY_TIMEOUT, Connection, ExchangeError, SendOptions, SendPermit, Traffic};
+use super::connection_reuse::{AnswerTimes, allows_reuse};
 use crate::http::active_waits::ActiveWaits;
 use crate::ports::{AttemptCompleted, CallMessage, Inbound, Transport, WriteOptions};
 
@@ -64,6 +65,8 @@
     connections_in_use: Cell<usize>,
     /// The attempts in flight.
     in_flight: RefCell<HashMap<(MessageId, u16), InFlightAttempt>>,
+    /// In what time each endpoint answers.
+    answer_times: RefCell<HashMap<EndpointId, AnswerTimes>>,
     /// Completed attempts whose message was written completely.
     written: Cell<u64>,
     waits: ActiveWaits,
@@ -147,6 +150,7 @@
             idle,
             connections_in_use: Cell::new(0),
             in_flight,
+            answer_times: RefCell::default(),
             written,
             waits: ActiveWaits::default(),
             not_accepting: RefCell::default(),
@@ -195,6 +199,7 @@
     fn forget(&self, endpoint: EndpointId) {
         self.0.addresses.borrow_mut().remove(&endpoint);
         self.0.not_accepting.borrow_mut().remove(&endpoint);
+        self.0.answer_times.borrow_mut().remove(&endpoint);
         self.close_idle(endpoint);
     }
 
@@ -258,10 +263,10 @@
             let deadline = parts.iter().map(|part| part.answer_deadline).max().unwrap_or(started_at);
             let complete = |outcome| {
                 let outcomes = (0..parts.len()).map(|at| (progress.outcome_of(at, outcome), false)).collect();
-                let answered = CallAnswer { outcomes, report: vec![], wait: None, unread_body: None };
+                let answered = CallAnswer { outcomes, report: vec![], wait: None, reusable: None };
                 shared.report_completed(target, &parts, started_at, &answered);
             };
-            let unread = tokio::select! {
+            let reusable = tokio::select! {
                 result = timeout_at(
                     deadline,
                     shared.call((route, target), &parts, deadline, options, &progress),
@@ -270,7 +275,7 @@
                         shared.record_wait(route, answered.wait);
                         expire_late_deliveries(&mut answered.outcomes, Instant::now(), deadline);
                         shared.report_completed(target, &parts, started_at, &answered);
-                        answered.unread_body
+                        answered.reusable
                     }
                     Ok(Err(outcome)) => {
                         complete(outcome);
@@ -288,7 +293,7 @@
                     None
                 }
             };
-            if let Some((conn, body)) = unread {
+            if let Some((conn, body)) = reusable {
                 shared.read_rest(target, conn, body).await;
             }
         });
@@ -322,7 +327,9 @@
                     .await?;
                 let (head, body) = answer.into_parts();
                 let body = conn.0.body(body).await.map_err(|()| Outcome::InvalidResponse)?;
-                shared.return_connection(target, conn).await;
+                if allows_reuse(head.status, &[]) && !conn.0.answer_may_be_copy() {
+                    shared.return_connection(target, conn).await;
+                }
                 let mut report = shared.load_report(&head.headers);
                 if report.is_empty() {
                     report = std::str::from_utf8(&body).map_or(vec![], |text| shared.parse_load_report(text));
@@ -363,13 +370,14 @@
 /// A connection in use, which is counted as such.
 struct InUseConnection(Connection, InUse);
 
-/// The result of a call. The rest of the response body may be unread, where it doesn't affect the outcomes.
+/// The result of a call.
 struct CallAnswer {
     /// For each message its outcome, and whether the endpoint reported it as completed.
     outcomes: Vec<(Outcome, bool)>,
     report: Vec<f32>,
     wait: Option<Micros>,
-    unread_body: Option<(InUseConnection, Option<Incoming>)>,
+    /// The connection, if it may be reused, with the rest of the response body where that doesn't affect the outcomes.
+    reusable: Option<(InUseConnection, Option<Incoming>)>,
 }
 
 impl TransportState {
@@ -492,8 +500,9 @@
             let shared = self.clone();
             let permit: SendPermit =
                 Box::pin(async move { shared.may_send(route, target).await && Instant::now() < send_before });
-            let answer =
-                conn.0.send_delayed(request, last_byte_delay, reused, &progress.may_run, permit).await;
+            let options =
+                SendOptions { last_byte_delay, reused, answer_times: self.answer_times(target, deadline) };
+            let answer = conn.0.send_delayed(request, options, &progress.may_run, permit).await;
             // The head of the request, at least one byte, precedes the body.
             let written = conn.0.traffic.written.get() - before;
             let never_sent = !progress.may_run.get() || written <= length;
@@ -552,7 +561,7 @@
         let report = self.load_report(&head.headers);
         if parts.len() == 1 && head.status == StatusCode::OK {
             let outcomes = for_all_messages(vec![(Outcome::Delivered, false)]);
-            return Ok(CallAnswer { outcomes, report, wait: None, unread_body: Some((conn, Some(body))) });
+            return Ok(CallAnswer { outcomes, report, wait: None, reusable: Some((conn, Some(body))) });
         }
         // A head whose body is invalid is not trusted: only a complete response proves anything.
         let body = conn.0.body(body).await.map_err(|()| Outcome::InvalidResponse)?;
@@ -571,22 +580,21 @@
                 // A message that is missing from the response, or has an unknown state, may have run.
                 _ => (Outcome::InvalidResponse, false),
             };
-            let outcomes = for_all_messages(parts.iter().map(outcome_of_part).collect());
-            return Ok(CallAnswer { outcomes, report, wait, unread_body: Some((conn, None)) });
+            let outcomes: Vec<_> = parts.iter().map(outcome_of_part).collect();
+            let reusable = allows_reuse(head.status, &outcomes).then_some((conn, None));
+            return Ok(CallAnswer { outcomes: for_all_messages(outcomes), report, wait, reusable });
         }
         let new_without_report = new && report.is_empty();
-        let result =
+        let mut result =
             (outcome(head.status, &head.headers, new_without_report), head.status == StatusCode::GONE);
-        // Bytes after the response may belong to it: its content length was wrong, and it can't be trusted.
+        // Bytes after the response may belong to it: its content length was wrong, and it can't be trusted as a proof that
+        // nothing ran. Its Retry-After is obeyed in any case.
         if result.0.never_ran() && !conn.0.is_silent().await {
-            return Err(Outcome::InvalidResponse);
+            result = (Outcome::InvalidResponse, false);
         }
-        Ok(CallAnswer {
-            outcomes: for_all_messages(vec![result; parts.len()]),
-            report,
-            wait,
-            unread_body: Some((conn, None)),
-        })
+        let outcomes = vec![result; parts.len()];
+        let reusable = allows_reuse(head.status, &outcomes).then_some((conn, None));
+        Ok(CallAnswer { outcomes: for_all_messages(outcomes), report, wait, reusable })
     }
 
     fn report_completed(
@@ -625,7 +633,8 @@
         let _ = self.inbound.send(Inbound::CallCompleted(completed));
     }
 
-    /// Reads the rest of a response, so that its connection can be reused.
+    /// Reads the rest of a response, and keeps its connection for reuse unless the response may be a copy of the one before
+    /// it.
     async fn read_rest(
         self: &Rc<Self>,
         target: EndpointAddress,
@@ -637,7 +646,26 @@
         {
             return;
         }
-        self.return_connection(target, conn).await;
+        if !conn.0.answer_may_be_copy() {
+            self.record_answer_time(target.endpoint, conn.0.answer_time);
+            self.return_connection(target, conn).await;
+        }
+    }
+
+    /// Records in what time an endpoint has answered a call.
+    fn record_answer_time(&self, endpoint: EndpointId, time: Duration) {
+        let mut answer_times = self.answer_times.borrow_mut();
+        answer_times
+            .entry(endpoint)
+            .and_modify(|times| times.add(time))
+            .or_insert_with(|| AnswerTimes::new(time));
+    }
+
+    /// In what time an endpoint answers, if that is known. A response is not held back for longer than half of the time until
+    /// the deadline.
+    fn answer_times(&self, target: EndpointAddress, deadline: Instant) -> Option<AnswerTimes> {
+        let times = self.answer_times.borrow().get(&target.endpoint).copied()?;
+        Some(times.at_most(deadline.saturating_duration_since(Instant::now()) / 2))
     }
 
     async fn return_connection(self: &Rc<Self>, target: EndpointAddress, conn: InUseConnection) {
--- a/crates/sender/src/http/connection.rs
+++ b/crates/sender/src/http/connection.rs
@@ -20,8 +20,10 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
+use super::connection_reuse::{AnswerBytes, AnswerHistory, AnswerTimes, CopyFilter};
+use super::response_filter::ResponseFilter;
 use crate::ports::MAX_BODY_BYTES;
 
 /// Maximum size of a response head, in bytes; a longer one is invalid.
@@ -46,10 +48,12 @@
     /// Length of `HTTP/1.1 200` and the byte after it.
     const PREFIX_BYTES: usize = 13;
 
-    fn observe(&mut self, bytes: &[u8]) {
-        for byte in bytes {
+    /// Observes received bytes. Returns the offset after the last interim response that ends in them, if one does.
+    fn observe(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut interim_end = None;
+        for (at, byte) in bytes.iter().enumerate() {
             if self.status.is_some() {
-                return;
+                return interim_end;
             }
             self.started = !self.interim;
             if self.line.len() < Self::PREFIX_BYTES {
@@ -64,11 +68,13 @@
                 }
             } else if self.interim && empty {
                 self.interim = false;
+                interim_end = Some(at + 1);
             }
             if *byte == b'\n' {
                 self.line.clear();
             }
         }
+        interim_end
     }
 
     fn parse_status(&self) -> Option<u16> {
@@ -84,16 +90,59 @@
 pub(super) struct Traffic {
     pub(super) written: Cell<u64>,
     pub(super) status_line: RefCell<StatusLine>,
+    /// The response that is being received, without interim responses ahead of it.
+    answer: RefCell<AnswerBytes>,
+    /// Holds back a response that may be a copy; `None` on a connection without an earlier response.
+    filter: RefCell<Option<ResponseFilter>>,
+    /// When the last byte of the request was handed to the connection.
+    last_byte_at: Cell<Option<Instant>>,
     /// Nothing may arrive now: any byte fails the connection.
     expect_silence: Cell<bool>,
 }
 
+impl Traffic {
+    /// Prepares for the next response.
+    fn expect_response(&self, filter: Option<CopyFilter>) {
+        self.status_line.take();
+        self.answer.take();
+        self.last_byte_at.take();
+        self.filter.replace(filter.map(ResponseFilter::new));
+    }
+
+    /// The time since the last byte of the request was handed to the connection; zero if it wasn't yet.
+    fn since_last_byte(&self) -> Duration {
+        self.last_byte_at.get().map_or(Duration::ZERO, |last_byte_at| last_byte_at.elapsed())
+    }
+
+    /// Records received bytes.
+    fn received(&self, bytes: &[u8]) {
+        let interim_end = self.status_line.borrow_mut().observe(bytes);
+        if interim_end.is_some() {
+            self.answer.take();
+        }
+        self.answer.borrow_mut().push(&bytes[interim_end.unwrap_or(0)..]);
+    }
+}
+
 /// A stream that records its [`Traffic`].
 struct ObservedStream {
     stream: TcpStream,
     traffic: Rc<Traffic>,
 }
 
+impl ObservedStream {
+    /// Reads without what may be a second copy of an earlier response.
+    fn poll_read_filtered(&mut self, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let mut filter = self.traffic.filter.borrow_mut();
+        match filter.as_mut().filter(|response| !response.is_done()) {
+            Some(response) => {
+                response.poll_read(&mut self.stream, || self.traffic.since_last_byte(), cx, buf)
+            }
+            None => Pin::new(&mut self.stream).poll_read(cx, buf),
+        }
+    }
+}
+
 impl AsyncRead for ObservedStream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         if self.traffic.expect_silence.get() {
@@ -106,8 +155,8 @@
             }
         }
         let before = buf.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.traffic.status_line.borrow_mut().observe(&buf.filled()[before..]);
+        let poll = self.poll_read_filtered(cx, buf);
+        self.traffic.received(&buf.filled()[before..]);
         poll
     }
 }
@@ -194,6 +243,7 @@
             return Poll::Ready(Some(Err(LastByteWithheld)));
         }
         self.may_run.set(true);
+        self.traffic.last_byte_at.set(Some(Instant::now()));
         self.traffic.expect_silence.set(false);
         Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut self.remaining)))))
     }
@@ -217,6 +267,21 @@
     /// It ended with an error, not with an orderly close.
     failed: bool,
     pub(super) traffic: Rc<Traffic>,
+    answers: AnswerHistory,
+    /// The time from the last byte of the latest request to the head of its response.
+    pub(super) answer_time: Duration,
+}
+
+/// How a request is sent.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct SendOptions {
+    /// Delay between the last byte and the others.
+    pub(super) last_byte_delay: Duration,
+    /// The connection has carried a request before.
+    pub(super) reused: bool,
+    /// In what time the endpoint answers, if that is known. On a reused connection an earlier response that equals the one
+    /// before it is held back, since it may be a copy.
+    pub(super) answer_times: Option<AnswerTimes>,
 }
 
 /// Why a request has no response.
@@ -241,7 +306,14 @@
         let io = TokioIo::new(ObservedStream { stream, traffic: traffic.clone() });
         let mut http = hyper::client::conn::http1::Builder::new();
         let (sender, driver) = http.max_buf_size(HEAD_LIMIT).handshake(io).await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)), failed: false, traffic })
+        Ok(Self {
+            sender,
+            driver: Some(Box::pin(driver)),
+            failed: false,
+            traffic,
+            answers: AnswerHistory::default(),
+            answer_time: Duration::ZERO,
+        })
     }
 
     /// Polls the connection, which reads and writes as far as possible without waiting.
@@ -270,17 +342,23 @@
         self.is_silent().await && self.driver.is_some() && self.sender.is_ready()
     }
 
+    /// Adds the response that was received completely to the history of this connection. Returns whether it may be a second
+    /// copy of the response before it, so that the response to the last request may still arrive.
+    pub(super) fn answer_may_be_copy(&mut self) -> bool {
+        self.answers.add(self.traffic.answer.take())
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
     /// Fails when the connection breaks or the response is invalid.
     pub async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, ExchangeError> {
         let at_once = Box::pin(std::future::ready(true));
-        self.send_delayed(request, Duration::ZERO, false, &Rc::default(), at_once).await
+        self.send_delayed(request, SendOptions::default(), &Rc::default(), at_once).await
     }
 
-    /// Sends a request and waits for the head of the response. The last byte is sent after `last_byte_delay`, and only if
-    /// `permit` then resolves to true. `may_run` is set as soon as the last byte can be sent. On a reused connection, bytes
+    /// Sends a request and waits for the head of the response. The last byte is sent after its delay, and only if `permit`
+    /// then resolves to true. `may_run` is set as soon as the last byte can be sent. On a reused connection, bytes
     /// that arrive before that belong to another call and fail the request.
     ///
     /// # Errors
@@ -288,14 +366,18 @@
     pub(super) async fn send_delayed(
         &mut self,
         request: Request<Bytes>,
-        last_byte_delay: Duration,
-        reused: bool,
+        options: SendOptions,
         may_run: &Rc<Cell<bool>>,
         permit: SendPermit,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        *self.traffic.status_line.borrow_mut() = StatusLine::default();
+        let SendOptions { last_byte_delay, reused, answer_times } = options;
+        let filter = answer_times.filter(|_| reused).and_then(|times| self.answers.filter(times));
+        self.traffic.expect_response(filter);
         let traffic = self.traffic.clone();
         may_run.set(request.body().is_empty());
+        if may_run.get() {
+            traffic.last_byte_at.set(Some(Instant::now()));
+        }
         traffic.expect_silence.set(reused && !last_byte_delay.is_zero() && !may_run.get());
         let (may_run, observed) = (may_run.clone(), traffic.clone());
         let withheld = Rc::new(Cell::new(false));
@@ -325,7 +407,9 @@
                 None => Poll::Pending,
             }
         });
-        match answer.await {
+        let answer = answer.await;
+        self.answer_time = traffic.since_last_byte();
+        match answer {
             Some(Ok(answer)) => Ok(answer),
             Some(Err(_)) if withheld.get() => Err(ExchangeError::NotSent),
             Some(Err(_)) if started() => Err(ExchangeError::InvalidResponse),
--- a/crates/sender/src/http/connection/tests.rs
+++ b/crates/sender/src/http/connection/tests.rs
@@ -42,8 +42,8 @@
         let mut conn = Connection::open(address).await.unwrap();
         let request = Request::post("/").header("host", "e").body(Bytes::from("order")).unwrap();
         let (may_run, denied) = (Rc::default(), Box::pin(std::future::ready(false)));
-        let last_byte_delay = Duration::from_millis(1);
-        let answer = conn.send_delayed(request, last_byte_delay, false, &may_run, denied).await;
+        let options = SendOptions { last_byte_delay: Duration::from_millis(1), ..SendOptions::default() };
+        let answer = conn.send_delayed(request, options, &may_run, denied).await;
         assert!(matches!(answer, Err(ExchangeError::NotSent)));
         assert!(!may_run.get());
     });
--- a/crates/sender/src/http/mod.rs
+++ b/crates/sender/src/http/mod.rs
@@ -4,4 +4,6 @@
 pub mod admin;
 pub mod client;
 pub mod connection;
+mod connection_reuse;
+mod response_filter;
 pub mod server;
--- a/crates/sender/tests/node/main.rs
+++ b/crates/sender/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod malformed_requests;
 mod repeated_ids;
 mod robustness;
+mod second_copies;
 mod slow_connects;
 
 use std::collections::BTreeSet;
--- a/crates/test-doubles/src/lib.rs
+++ b/crates/test-doubles/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failure in a test double fails the test")]
 
+mod copying_partner;
 mod http;
 mod load;
 mod lossy_network;
@@ -18,6 +19,7 @@
 use std::thread;
 use std::time::Duration;
 
+pub use copying_partner::{CopyInstant, CopyingPartner, Effect, PlannedAnswer, RecordedCall};
 pub use http::{Http, PendingRequest, Reply, ScriptedServer, status};
 pub use load::{ClientAddress, ClientAnswer, Load, Notifications, Plan, Submission};
 pub use lossy_network::{Fault, LossyNetwork};
