Test: the platform's golden bytes depend less on an idle machine

Cause, in the test: its failing calls all went to one destination; if they take long, the sender takes the destination for failing and makes no further call, for which the test waits. And a notification that the test answers after 100 ms comes a second time over another connection, as the sender is built to.

Change: each failing call has a destination of its own; one repeat of a notification that was answered late is left out. The recorded bytes and what is compared are as before; on a machine that answers in time nothing is left out.

--- a/crates/golden/src/wire/platform.rs
+++ b/crates/golden/src/wire/platform.rs
@@ -1,9 +1,11 @@
 //! Requests to discovery, and notifications of outcomes.
 
+use std::time::Duration;
+
 use serde_json::json;
 use test_doubles::{draining, listing};
 
-use super::scripted::{Scene, Sections, Server, exchange, message};
+use super::scripted::{Request, Scene, Sections, Server, exchange, message};
 
 /// Returns the text of the kind `platform`.
 pub fn text() -> String {
@@ -55,48 +57,83 @@
     sections.add_bytes("with no list in the configuration", &scene.platform.next("GET ").bytes);
 }
 
+/// A notification that has no answer after this time may arrive a second time, over another connection. Half of the sender's
+/// delay, which begins before the notification arrives.
+const REPEAT_DELAY: Duration = Duration::from_millis(50);
+
+/// The notifications that a platform receives. Those that it answered late may arrive once more, which the recording leaves out.
+struct Notifications<'a> {
+    platform: &'a Server,
+    answered_late: Vec<Vec<u8>>,
+}
+
+impl Notifications<'_> {
+    /// Waits for the next notification that is not one answered late.
+    fn next(&mut self) -> Request {
+        loop {
+            let notification = self.platform.next("POST ");
+            let repeated = self.answered_late.iter().position(|bytes| *bytes == notification.bytes);
+            let Some(repeated) = repeated else { return notification };
+            self.answered_late.remove(repeated);
+            notification.respond_with(204, "", "");
+        }
+    }
+
+    /// Answers a notification.
+    fn answer(&mut self, notification: Request, status: u16) {
+        if notification.age() >= REPEAT_DELAY {
+            self.answered_late.push(notification.bytes.clone());
+        }
+        notification.respond_with(status, "", "");
+    }
+}
+
 fn notifications(sections: &mut Sections) {
     let endpoint = Server::new();
-    let scene = Scene::new(&[draining("e0", 7), listing("e1", 8, "plain", endpoint.address)], "", |_| {});
+    // A destination for each call: one that has failed for a while gets no further call, and a busy machine makes it a while.
+    let listed = |destination| listing(&format!("e{destination}"), destination, "plain", endpoint.address);
+    let endpoints = [draining("e0", 7), listed(8), listed(9), listed(10), listed(11)];
+    let scene = Scene::new(&endpoints, "", |_| {});
+    let mut platform = Notifications { platform: &scene.platform, answered_late: Vec::new() };
     let submit = |id: &str, class: &str, changes: &[(&str, &str)]| {
         let answer = exchange(scene.node.address, &message(id, class, changes));
         assert!(answer.starts_with(b"HTTP/1.1 202 "), "{}", answer.escape_ascii());
     };
     submit("a", "order", &[("Deadline-Ms: 20000", "Deadline-Ms: 300")]);
-    let notification = scene.platform.next("POST ");
+    let notification = platform.next();
     sections.add_bytes("deferred", &notification.bytes);
-    notification.respond_with(500, "", "");
-    let notification = scene.platform.next("POST ");
+    platform.answer(notification, 500);
+    let notification = platform.next();
     sections.add_bytes("deferred, after the platform failed", &notification.bytes);
-    notification.respond_with(204, "", "");
+    platform.answer(notification, 204);
     submit("b", "order", &[("dest=7", "dest=8")]);
     endpoint.next("").respond_with(500, "", "");
-    let notification = scene.platform.next("POST ");
+    let notification = platform.next();
     sections.add_bytes("undeliverable", &notification.bytes);
     // Notifications that become due while one is in flight are sent together.
-    for id in ["c", "d"] {
-        submit(id, "order", &[("dest=7", "dest=8")]);
+    for (id, destination) in [("c", "dest=9"), ("d", "dest=10")] {
+        submit(id, "order", &[("dest=7", destination)]);
         endpoint.next("").respond_with(500, "", "");
     }
-    notification.respond_with(400, "", "");
+    platform.answer(notification, 400);
     scene.wait_for_pending(0);
     let mut further_lines = Vec::new();
     while !["c", "d"]
         .iter()
         .all(|id| further_lines.iter().any(|line: &String| line.contains(&format!("\"{id}\""))))
     {
-        let notification = scene.platform.next("POST ");
+        let notification = platform.next();
         let body =
             String::from_utf8_lossy(&notification.bytes).split_once("\r\n\r\n").expect("a head").1.to_owned();
         further_lines.extend(body.lines().map(str::to_owned));
-        notification.respond_with(204, "", "");
+        platform.answer(notification, 204);
     }
     sections.add("further lines", &further_lines.join("\n"));
-    submit("e", "note", &[("dest=7", "dest=8"), ("Deadline-Ms: 20000", "Deadline-Ms: 1000")]);
+    submit("e", "note", &[("dest=7", "dest=11"), ("Deadline-Ms: 20000", "Deadline-Ms: 1000")]);
     endpoint.next("").respond_with(429, "Retry-After: 3\r\n", "");
-    let notification = scene.platform.next("POST ");
+    let notification = platform.next();
     sections.add_bytes("deferred, with a wait", &notification.bytes);
-    notification.respond_with(204, "", "");
+    platform.answer(notification, 204);
 }
 
 /// Adds the notification of a non-idempotent message that a restart recovered with an attempt: it is undeliverable.
--- a/crates/golden/src/wire/scripted.rs
+++ b/crates/golden/src/wire/scripted.rs
@@ -7,6 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 use test_doubles::{Node, Platform, Program, TIMEOUT, submission, wait_until};
@@ -17,10 +18,16 @@
 pub struct Request {
     /// The bytes of head and body.
     pub bytes: Vec<u8>,
+    arrived: Instant,
     response_sender: Sender<Vec<u8>>,
 }
 
 impl Request {
+    /// How long ago it arrived.
+    pub fn age(&self) -> Duration {
+        self.arrived.elapsed()
+    }
+
     /// Responds with these bytes.
     pub fn respond(self, bytes: impl Into<Vec<u8>>) {
         // The client may have closed the connection.
@@ -97,7 +104,7 @@
     let mut input = BufReader::new(stream);
     while let Some(bytes) = read(&mut input) {
         let (response_sender, responses) = channel();
-        if request_sender.send(Request { bytes, response_sender }).is_err() {
+        if request_sender.send(Request { bytes, arrived: Instant::now(), response_sender }).is_err() {
             return;
         }
         let Ok(response) = responses.recv() else { return };
