An endpoint list that takes over a second to answer is read

Cause: discovery/watch.rs gave a request for the full list up after 1 s, closed its connection and sent it anew 50 ms later, each time. A long poll had the same shape 1.5 s after its hold. Reloading with the same address was ruled out: it notifies nobody (send_if_modified).

Change: an overdue request is sent again at the same times as before, but the earlier ones stay open for 6 s beyond their hold, and the first answer ends the poll (discovery/poll.rs, no I/O and no clock). A longer time-out alone would notice an outage later than its changes are binding. A full list that is under way is not given up when another one is asked for. The log has a line when a poll is overdue.

Tests: node/slow_discovery; on the code before, five of its six fail (full list after SIGHUP, two configurations, silent then slow, too many updates, late long poll); the sixth shows that a discovery that answers within 1 s gets no further request, before and after. discovery/poll/tests.rs has the schedule.

--- a/crates/sender/src/discovery/watch.rs
+++ b/crates/sender/src/discovery/watch.rs
@@ -1,101 +1,188 @@
-//! The watch on the endpoint list: long polls of discovery for as long as the process runs.
+//! The watch on the endpoint list: polls of discovery for as long as the process runs.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use decision::interface::Event;
 use hyper::{Request, StatusCode};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, watch::Receiver};
-use tokio::time::timeout;
+use tokio::task::JoinSet;
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout};
 
 use crate::discovery::endpoint_list::{EndpointList, EndpointUpdate};
+use crate::discovery::poll::{AttemptNumber, Poll, PollRequest, PollStep};
 use crate::discovery::poll_schedule::{PollFailure, PollSchedule};
+use crate::http::connection::Connection;
 use crate::platform_client::send_request;
 use crate::ports::Inbound;
 
-/// How long discovery may hold a long poll open.
-const LONG_POLL: Duration = Duration::from_secs(20);
-/// How much later than that the response may arrive; normally it arrives at once. A change that was missed because
-/// discovery does not respond is binding 2 s after the end of the long poll, so that the failure has to be noticed earlier.
-const LONG_POLL_SLACK: Duration = Duration::from_millis(1_500);
-/// Timeout of a request for the full list.
-const LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Length in bytes above which a list takes a millisecond or more to parse.
 const LONG_LIST: usize = 128 << 10;
 
-/// Parses a list. A long one is parsed on another thread, so that it doesn't delay the event loop.
-async fn parse_list(body: Bytes) -> Option<EndpointList> {
-    if body.len() <= LONG_LIST {
-        return serde_json::from_slice(&body).ok();
-    }
-    tokio::task::spawn_blocking(move || serde_json::from_slice(&body).ok()).await.ok().flatten()
+/// The list that a watch begins with.
+#[derive(Debug, Clone, Copy)]
+pub struct KnownList {
+    /// The version to watch from, or none if the full list has to be fetched.
+    pub version: Option<u64>,
+    /// How long it remains valid, which delays the first poll.
+    pub good_for: Duration,
+}
+
+/// The answer to an attempt, and its connection if that can be used again.
+struct Answer {
+    list: EndpointList,
+    connection: Option<Connection>,
+}
+
+/// How a poll ended.
+enum PollEnd {
+    Answered(Box<Answer>),
+    /// Discovery has another address.
+    Moved,
+    /// The changes that were asked for are not enough: the full list has to be fetched.
+    FullListNeeded,
+}
+
+/// Polls discovery for the endpoint list.
+struct EndpointWatch {
+    discovery: Receiver<SocketAddr>,
+    full_list_needed: Rc<Notify>,
+    schedule: PollSchedule,
+    inbound: UnboundedSender<Inbound>,
+    started_at: Instant,
 }
 
 /// Watches the endpoint list for as long as the process runs, beginning with a known version or else with the full list.
-/// `good_for` is how long the known list remains valid, which delays the first poll. When the address of discovery changes,
-/// or `full_list_needed` is notified, the watch starts over with the full list: versions of two instances of discovery must
-/// not be mixed.
+/// When the address of discovery changes, or `full_list_needed` is notified, the watch starts over with the full list:
+/// versions of two instances of discovery must not be mixed.
 pub async fn watch_endpoints(
-    mut discovery: Receiver<SocketAddr>,
-    known: Option<u64>,
+    discovery: Receiver<SocketAddr>,
+    known: KnownList,
     full_list_needed: Rc<Notify>,
-    mut schedule: PollSchedule,
-    good_for: Duration,
+    schedule: PollSchedule,
     inbound: UnboundedSender<Inbound>,
 ) {
-    let mut from = known;
-    tokio::time::sleep(schedule.first_delay(good_for)).await;
-    let mut conn = None;
-    loop {
-        let address = *discovery.borrow_and_update();
-        let (path, within) = match from {
-            Some(from) => (
-                format!("/v1/endpoints?from={from}&hold_ms={}", LONG_POLL.as_millis()),
-                LONG_POLL + LONG_POLL_SLACK,
-            ),
-            None => ("/v1/endpoints".to_owned(), LIST_TIMEOUT),
-        };
-        let Ok(request) = Request::get(path).header("host", address.to_string()).body(Bytes::new()) else {
-            return;
-        };
-        let answer = tokio::select! {
-            answer = timeout(within, send_request(&mut conn, address, request)) => answer,
-            () = full_list_needed.notified() => {
-                from = None;
-                continue;
-            }
-            Ok(()) = discovery.changed() => {
-                (from, conn) = (None, None);
-                continue;
-            }
-        };
-        let list = match answer {
-            Ok(Ok((StatusCode::OK, body))) => parse_list(body).await.ok_or(PollFailure::Broken),
-            Ok(Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _))) => {
-                Err(PollFailure::Rejected)
+    let started_at = Instant::now();
+    EndpointWatch { discovery, full_list_needed, schedule, inbound, started_at }.run(known).await;
+}
+
+impl EndpointWatch {
+    async fn run(mut self, known: KnownList) {
+        let mut version = known.version;
+        let mut kept = None;
+        sleep(self.schedule.first_delay(known.good_for)).await;
+        loop {
+            let address = *self.discovery.borrow_and_update();
+            let request = PollRequest::after(version);
+            match self.poll(request, address, kept.take()).await {
+                PollEnd::Answered(answer) => {
+                    let Answer { list, connection } = *answer;
+                    self.schedule.answered();
+                    (version, kept) = (Some(list.index), connection);
+                    let update = EndpointUpdate(Arc::new(list));
+                    if self.inbound.send(Inbound::EndpointsUpdated(update)).is_err() {
+                        return;
+                    }
+                }
+                PollEnd::Moved | PollEnd::FullListNeeded => version = None,
             }
-            _ => Err(PollFailure::Broken),
-        };
-        let update = match list {
-            Ok(list) => {
-                schedule.answered();
-                from = Some(list.index);
-                Inbound::EndpointsUpdated(EndpointUpdate(Arc::new(list)))
+        }
+    }
+
+    /// Polls until an attempt is answered, or there is something else to ask for. All attempts end with the poll.
+    async fn poll(
+        &mut self,
+        request: PollRequest,
+        address: SocketAddr,
+        mut kept: Option<Connection>,
+    ) -> PollEnd {
+        let mut poll = Poll::new(request, self.started_at.elapsed());
+        let mut attempts = JoinSet::new();
+        loop {
+            while let Some(step) = poll.next_step(self.started_at.elapsed(), &mut self.schedule) {
+                match step {
+                    PollStep::StartAttempt(number) => {
+                        attempts.spawn_local(attempt(number, request, address, kept.take()));
+                    }
+                    PollStep::Overdue => self.report_overdue(&poll),
+                }
             }
-            Err(failure) => {
-                conn = None;
-                if let Ok(Ok(())) = timeout(schedule.backoff(failure), discovery.changed()).await {
-                    from = None;
+            let due = self.started_at + poll.due();
+            tokio::select! {
+                biased;
+                Ok(()) = self.discovery.changed() => return PollEnd::Moved,
+                () = self.full_list_needed.notified() => {
+                    // A full list that is under way will do.
+                    if request != PollRequest::FullList {
+                        return PollEnd::FullListNeeded;
+                    }
                 }
-                Inbound::Event(Event::DiscoveryFailed)
+                Some(ended) = attempts.join_next() => match ended {
+                    Ok((_, Ok(answer))) => return PollEnd::Answered(Box::new(answer)),
+                    Ok((number, Err(failure))) => self.attempt_failed(&mut poll, number, failure),
+                    // The attempt panicked; a further one follows when it is overdue.
+                    Err(_) => {}
+                },
+                () = sleep_until(due) => {}
             }
-        };
-        if inbound.send(update).is_err() {
-            return;
         }
     }
+
+    fn report_overdue(&self, poll: &Poll) {
+        if poll.attempts() == 1 {
+            eprintln!("endpoint list: no answer from discovery in time, sending further requests");
+        }
+        self.report_failure();
+    }
+
+    fn attempt_failed(&mut self, poll: &mut Poll, number: AttemptNumber, failure: PollFailure) {
+        if poll.failed(number, failure, self.started_at.elapsed(), &mut self.schedule) {
+            self.report_failure();
+        }
+    }
+
+    /// Reports that the list may be out of date. The event loop ends this task when it ends itself.
+    fn report_failure(&self) {
+        let _ = self.inbound.send(Inbound::Event(Event::DiscoveryFailed));
+    }
+}
+
+/// Sends one request for the list, over the kept connection if there is one, and reads the answer.
+async fn attempt(
+    number: AttemptNumber,
+    request: PollRequest,
+    address: SocketAddr,
+    kept: Option<Connection>,
+) -> (AttemptNumber, Result<Answer, PollFailure>) {
+    let answer = timeout(request.answer_timeout(), fetch(request, address, kept)).await;
+    (number, answer.unwrap_or(Err(PollFailure::Broken)))
+}
+
+async fn fetch(
+    request: PollRequest,
+    address: SocketAddr,
+    mut connection: Option<Connection>,
+) -> Result<Answer, PollFailure> {
+    let request = Request::get(request.path()).header("host", address.to_string()).body(Bytes::new());
+    let request = request.map_err(|_| PollFailure::Broken)?;
+    let answer = send_request(&mut connection, address, request).await.map_err(|()| PollFailure::Broken)?;
+    match answer {
+        (StatusCode::OK, body) => {
+            let list = parse_list(body).await.ok_or(PollFailure::Broken)?;
+            Ok(Answer { list, connection })
+        }
+        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _) => Err(PollFailure::Rejected),
+        _ => Err(PollFailure::Broken),
+    }
+}
+
+/// Parses a list. A long one is parsed on another thread, so that it doesn't delay the event loop.
+async fn parse_list(body: Bytes) -> Option<EndpointList> {
+    if body.len() <= LONG_LIST {
+        return serde_json::from_slice(&body).ok();
+    }
+    tokio::task::spawn_blocking(move || serde_json::from_slice(&body).ok()).await.ok().flatten()
 }
--- a/crates/sender/tests/node/main.rs
+++ b/crates/sender/tests/node/main.rs
@@ -15,6 +15,7 @@
 mod robustness;
 mod second_copies;
 mod slow_connects;
+mod slow_discovery;
 
 use std::collections::BTreeSet;
 
--- /dev/null
+++ b/crates/sender/tests/node/slow_discovery.rs
@@ -0,0 +1,139 @@
+//! Discovery that is slow: its answers take up to two seconds, come in pieces, or come after a time of silence.
+
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use test_doubles::*;
+
+use super::program;
+
+/// The longest time that discovery takes for an answer (`timeout_ms` of `[discovery]` in the bench's page).
+const SLOWEST_ANSWER: Duration = Duration::from_secs(2);
+/// A change counts as told this long after SIGHUP (LATER, "New configurations and restarts").
+const TOLD_AFTER_SIGHUP: Duration = Duration::from_secs(4);
+/// A change counts as told this long after discovery had it and could be reached (STANDING).
+const TOLD_AFTER_REACHABLE: Duration = Duration::from_secs(6);
+const AT_ONCE: AnswerPace = AnswerPace::After(Duration::ZERO);
+const SLOW: AnswerPace = AnswerPace::After(SLOWEST_ANSWER);
+
+/// Sets the address of discovery in the configuration and sends SIGHUP. Returns when.
+fn move_discovery(node: &Node, to: &Discovery) -> Instant {
+    let mut config = node.configuration();
+    config["discovery"] = json!(to.address.to_string());
+    node.reconfigure(&config.to_string());
+    node.signal("-HUP");
+    Instant::now()
+}
+
+/// Starts a sender with this discovery and this list in its configuration.
+fn start(discovery: &Discovery, known: &[Value]) -> Node {
+    Node::start(&program(), &Platform::new(), known, |config| {
+        config["discovery"] = json!(discovery.address.to_string());
+    })
+}
+
+/// Whether the sender accepts a message for this destination, which it does once a list has named it.
+fn knows(node: &Node, id: &str, destination: u16) -> bool {
+    node.submit(id, "note", destination, 20_000).status() == 202
+}
+
+/// A request for the full list was given up after a second and sent anew, so that an answer that takes longer was never read.
+#[test]
+fn full_list_after_sighup_is_read_however_slow_the_answer_is() {
+    let old = Discovery::new(1, &[draining("e0", 7)], AT_ONCE);
+    let new = Discovery::new(41, &[draining("e1", 8)], SLOW);
+    let node = start(&old, &[draining("e0", 7)]);
+    old.next();
+    let moved_at = move_discovery(&node, &new);
+    new.watched_from(41, TOLD_AFTER_SIGHUP);
+    assert!(moved_at.elapsed() < TOLD_AFTER_SIGHUP);
+    wait_until(|| knows(&node, "a", 8));
+}
+
+/// A second configuration that comes while the answer under the first is under way starts over at the new address; further
+/// signals with the same address must not, or the answer is never read.
+#[test]
+fn configurations_in_quick_succession_delay_the_list_no_longer_than_one() {
+    let old = Discovery::new(1, &[draining("e0", 7)], AT_ONCE);
+    let skipped = Discovery::new(90, &[draining("e1", 8)], SLOW);
+    let newest = Discovery::new(41, &[draining("e2", 9)], SLOW);
+    let node = start(&old, &[draining("e0", 7)]);
+    old.next();
+    move_discovery(&node, &skipped);
+    assert_eq!(skipped.next().path, "/v1/endpoints");
+    let moved_at = move_discovery(&node, &newest);
+    assert_eq!(newest.next().path, "/v1/endpoints", "versions of two instances of discovery are not mixed");
+    while moved_at.elapsed() < SLOWEST_ANSWER / 2 {
+        std::thread::sleep(Duration::from_millis(100));
+        node.signal("-HUP");
+    }
+    newest.watched_from(41, TOLD_AFTER_SIGHUP);
+    assert!(moved_at.elapsed() < TOLD_AFTER_SIGHUP);
+    wait_until(|| knows(&node, "a", 9));
+    assert!(!knows(&node, "b", 8), "the answer of the address before is not applied");
+}
+
+/// What a silent discovery was asked is never answered: the list has to be requested anew, and that answer may be slow.
+#[test]
+fn discovery_that_is_silent_and_then_slow_is_read_in_time() {
+    let old = Discovery::new(1, &[draining("e0", 7)], AT_ONCE);
+    let new = Discovery::new(41, &[draining("e1", 8)], AnswerPace::Silent);
+    let node = start(&old, &[draining("e0", 7)]);
+    old.next();
+    move_discovery(&node, &new);
+    for _ in 0..3 {
+        new.next();
+    }
+    new.set_pace(SLOW);
+    let reachable_at = Instant::now();
+    new.watched_from(41, TOLD_AFTER_REACHABLE);
+    assert!(reachable_at.elapsed() < TOLD_AFTER_REACHABLE);
+    wait_until(|| knows(&node, "a", 8));
+}
+
+/// After updates that were too many to apply, the full list is requested; a slow answer to that was never read either.
+#[test]
+fn full_list_after_too_many_updates_is_read_however_slow_the_answer_is() {
+    let discovery = Discovery::new(1, &[], AT_ONCE);
+    let node = start(&discovery, &[draining("e0", 7)]);
+    discovery.next();
+    discovery.set_pace(SLOW);
+    // One more than the entries that may wait to be applied.
+    let many: Vec<_> =
+        (0..=200_000).map(|n| json!({"name": format!("m{n}"), "group": 9, "status": "leaving"})).collect();
+    discovery.publish(&many);
+    while discovery.next().path != "/v1/endpoints" {}
+    let index = discovery.publish(&[draining("e1", 8)]);
+    let requested_at = Instant::now();
+    discovery.watched_from(index, TOLD_AFTER_REACHABLE);
+    assert!(requested_at.elapsed() < TOLD_AFTER_REACHABLE);
+    wait_until(|| knows(&node, "a", 8));
+}
+
+/// An answer to a long poll that comes two seconds after the end of its hold was given up half a second before.
+#[test]
+fn late_answer_to_a_long_poll_is_read() {
+    let discovery = Discovery::new(1, &[draining("e0", 7)], SLOW);
+    let _node = start(&discovery, &[draining("e0", 7)]);
+    discovery.next();
+    // The first poll is overdue. It is answered half a second later, with the list as it is then.
+    let second = discovery.next();
+    let index = discovery.publish(&[draining("e1", 8)]);
+    let (read_at, _) = discovery.watched_from(index, TOLD_AFTER_REACHABLE);
+    let waited = read_at - second.at;
+    assert!(waited < SLOWEST_ANSWER, "the first answer was not read: {waited:?}");
+}
+
+/// A discovery that answers in time gets one request for the full list and one for its changes, and no further one.
+#[test]
+fn quick_discovery_gets_no_further_request() {
+    let old = Discovery::new(1, &[draining("e0", 7)], AT_ONCE);
+    let new = Discovery::new(41, &[draining("e1", 8)], AnswerPace::After(Duration::from_millis(700)));
+    let node = start(&old, &[draining("e0", 7)]);
+    assert!(old.next().path.contains("?from=1&"));
+    move_discovery(&node, &new);
+    let (_, earlier) = new.watched_from(41, TIMEOUT);
+    assert_eq!(earlier, 1);
+    assert!(new.requests.recv_timeout(Duration::from_secs(3)).is_err(), "one watch is open and nothing else");
+    assert!(old.requests.try_recv().is_err(), "nothing goes to the old address");
+}
--- a/crates/test-doubles/src/lib.rs
+++ b/crates/test-doubles/src/lib.rs
@@ -6,6 +6,7 @@
 #![allow(clippy::unwrap_used, reason = "a failure in a test double fails the test")]
 
 mod copying_partner;
+mod discovery;
 mod http;
 mod load;
 mod lossy_network;
@@ -20,6 +21,7 @@
 use std::time::Duration;
 
 pub use copying_partner::{CopyInstant, CopyingPartner, Effect, PlannedAnswer, RecordedCall};
+pub use discovery::{AnswerPace, Discovery, ListRequest};
 pub use http::{Http, PendingRequest, Reply, ScriptedServer, status};
 pub use load::{ClientAddress, ClientAnswer, Load, Notifications, Plan, Submission};
 pub use lossy_network::{Fault, LossyNetwork};
