A version of the endpoint list is used at its own discovery instance alone

Could be seen by callers: drains and new endpoints are not known, since the watch is held open from a version that this instance has not reached.

Cause: the list's version was a bare number. A successor continued from its predecessor's version, also when that one had moved to another instance and waited for its first list, or had dropped a list of too many entries (event_loop/recovery.rs). An address that changed during the delay before the first poll was noticed after it (discovery/watch.rs), and one that changed while an answer was parsed was lost (from reading, not forced).

Change: the event loop and the state of a hand-over keep the address that the version is of, or none if the list is incomplete; a watch continues from the version at that address alone, updates of another address are dropped. The field is left out of the encoded state when it is empty, and has a default: golden's bytes are unchanged. A successor of the version before requests one full list more.

--- a/crates/golden/src/handover.rs
+++ b/crates/golden/src/handover.rs
@@ -235,6 +235,7 @@
         ],
         ids_assigned: 9,
         list_version: 41,
+        list_source: None,
         messages: vec![("request-1".to_owned(), 7, 70).into(), ("request-2".to_owned(), 8, 80).into()],
         attempts: vec![(7, 2).into(), (8, 1).into()],
         next_message: 9,
--- a/crates/handover/src/state.rs
+++ b/crates/handover/src/state.rs
@@ -3,6 +3,8 @@
 //! Fields are encoded by name: a field that is renamed must keep its encoded name, and a new field needs a default. The
 //! structs of list entries are encoded as tuples.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use decision::interface::{EndpointId, Listing, MessageId, Micros};
 use serde::{Deserialize, Serialize};
@@ -28,6 +30,10 @@
     /// Version of the endpoint list.
     #[serde(rename = "index")]
     pub list_version: u64,
+    /// The address of the discovery instance that the version is of, or none if the list is incomplete: then only the
+    /// full list continues it. Versions of the program before this field leave it out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub list_source: Option<SocketAddr>,
     /// The pending messages.
     #[serde(rename = "held")]
     pub messages: Vec<PendingRequest>,
--- a/crates/sender/src/discovery/endpoint_list.rs
+++ b/crates/sender/src/discovery/endpoint_list.rs
@@ -1,5 +1,6 @@
 //! The endpoint list, in the format of discovery, which the configuration also uses for the list as last known.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -41,6 +42,11 @@
     pub weight: f64,
 }
 
-/// An update of the endpoint list. All shards share one list, and each applies it for itself.
+/// An update of the endpoint list.
 #[derive(Debug, Clone)]
-pub struct EndpointUpdate(pub Arc<EndpointList>);
+pub struct EndpointUpdate {
+    /// The full list or changes. All shards share one list, and each applies it for itself.
+    pub list: Arc<EndpointList>,
+    /// The address of the discovery instance that it comes from.
+    pub source: SocketAddr,
+}
--- a/crates/sender/src/discovery/watch.rs
+++ b/crates/sender/src/discovery/watch.rs
@@ -73,16 +73,25 @@
     async fn run(mut self, known: KnownList) {
         let mut version = known.version;
         let mut kept = None;
-        sleep(self.schedule.first_delay(known.good_for)).await;
+        let mut address = *self.discovery.borrow_and_update();
+        let first_delay = self.schedule.first_delay(known.good_for);
+        tokio::select! {
+            () = sleep(first_delay) => {}
+            Ok(()) = self.discovery.changed() => version = None,
+        }
         loop {
-            let address = *self.discovery.borrow_and_update();
+            // The address may have changed at any time since the last poll began.
+            let current = *self.discovery.borrow_and_update();
+            if current != address {
+                (address, version, kept) = (current, None, None);
+            }
             let request = PollRequest::after(version);
             match self.poll(request, address, kept.take()).await {
                 PollEnd::Answered(answer) => {
                     let Answer { list, connection } = *answer;
                     self.schedule.answered();
                     (version, kept) = (Some(list.index), connection);
-                    let update = EndpointUpdate(Arc::new(list));
+                    let update = EndpointUpdate { list: Arc::new(list), source: address };
                     if self.inbound.send(Inbound::EndpointsUpdated(update)).is_err() {
                         return;
                     }
--- a/crates/sender/src/event_loop/inbound.rs
+++ b/crates/sender/src/event_loop/inbound.rs
@@ -32,15 +32,24 @@
         }
     }
 
-    /// Applies an endpoint list or its changes. Long ones are applied in slices, over several iterations.
-    fn endpoints_updated(&mut self, EndpointUpdate(list): EndpointUpdate, events: &mut Vec<Event>) {
+    /// Applies an endpoint list or its changes. Long ones are applied in slices, over several iterations. What another
+    /// instance of discovery answered before its address changed is dropped.
+    fn endpoints_updated(&mut self, update: EndpointUpdate, events: &mut Vec<Event>) {
+        let EndpointUpdate { list, source } = update;
+        if source != *self.discovery.borrow() {
+            return;
+        }
         (self.list_version, self.list_is_current) = (list.index, true);
+        if list.snapshot {
+            self.list_source = Some(source);
+        }
         if !self.directory.needs_slicing(&list) {
             events.push(self.apply_list(&list));
         } else if self.directory.enqueue(list).is_err() {
             eprintln!(
                 "endpoint list: updates arrive faster than they can be applied, fetching the full list"
             );
+            self.list_source = None;
             self.refetch_endpoints.notify_one();
         }
     }
--- a/crates/sender/src/event_loop/mod.rs
+++ b/crates/sender/src/event_loop/mod.rs
@@ -97,6 +97,8 @@
     inbound: UnboundedSender<Inbound>,
     /// The version of the endpoint list.
     list_version: u64,
+    /// The address of the discovery instance that the version is of. None if the list is incomplete.
+    list_source: Option<SocketAddr>,
     /// When discovery last confirmed that there is no newer list. An open watch counts as continuous confirmation.
     list_confirmed_at: Micros,
     /// Whether no discovery failure was reported since the last update of the list.
--- a/crates/sender/src/event_loop/recovery.rs
+++ b/crates/sender/src/event_loop/recovery.rs
@@ -24,6 +24,7 @@
             ids,
             ids_assigned: assigned,
             list_version,
+            list_source,
             messages: pending_requests,
             next_message,
             attempts,
@@ -31,7 +32,8 @@
             ..
         } = state;
         self.directory.restore(endpoints, ids.into_iter().map(Into::into).collect(), assigned);
-        (self.list_version, self.next_message) = (list_version, next_message);
+        (self.list_version, self.list_source) = (list_version, list_source);
+        self.next_message = next_message;
         if let JournalStore::Sharded(journal_part) = &mut self.journal {
             journal_part.skip_numbers_below(next_message);
         }
@@ -113,6 +115,7 @@
             ids: ids.into_iter().map(Into::into).collect(),
             ids_assigned,
             list_version: self.list_version,
+            list_source: self.list_source,
             messages: messages.collect(),
             attempts: self.attempts.iter().map(|(number, count)| (*number, *count).into()).collect(),
             next_message,
--- a/crates/sender/src/event_loop/startup.rs
+++ b/crates/sender/src/event_loop/startup.rs
@@ -86,6 +86,7 @@
             discovery,
             inbound,
             list_version: config.initial_list.index,
+            list_source: None,
             list_confirmed_at: 0,
             list_is_current: false,
             snapshot_store: parts.snapshot_store,
@@ -133,9 +134,15 @@
         let (mut events, list_version) = match recovery.predecessor_state.take() {
             Some(state) => {
                 let events = self.resume_from_predecessor(state);
-                (events, Some(self.list_version))
+                // The versions of two instances of discovery can't be compared.
+                let same_instance = self.list_source == Some(config.discovery);
+                (events, same_instance.then_some(self.list_version))
+            }
+            None => {
+                let (events, version) = self.recover(config.initial_list.clone(), recovery);
+                self.list_source = version.map(|_| config.discovery);
+                (events, version)
             }
-            None => self.recover(config.initial_list.clone(), recovery),
         };
         self.update_leases(&mut events);
         self.run_iteration(events);
--- a/crates/sender/tests/node/slow_discovery.rs
+++ b/crates/sender/tests/node/slow_discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery that is slow: its answers take up to two seconds, come in pieces, or come after a time of silence.
 
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -32,6 +33,22 @@
     })
 }
 
+/// Starts a sender on a listening socket that the platform holds open, so that a successor can take over.
+fn start_with_successor(discovery: &Discovery, known: &[Value]) -> Node {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap().to_string();
+    Node::start(&program().inheriting(&socket), &Platform::new(), known, |config| {
+        (config["listen"], config["ops"]) = (json!(address), json!("127.0.0.1:0"));
+        config["discovery"] = json!(discovery.address.to_string());
+    })
+}
+
+/// Publishes a list with one entry more than may wait to be applied.
+fn publish_too_many(discovery: &Discovery) {
+    let entry = |n| json!({"name": format!("m{n}"), "group": 9, "status": "leaving"});
+    discovery.publish(&(0..=200_000).map(entry).collect::<Vec<_>>());
+}
+
 /// Whether the sender accepts a message for this destination, which it does once a list has named it.
 fn knows(node: &Node, id: &str, destination: u16) -> bool {
     node.submit(id, "note", destination, 20_000).status() == 202
@@ -91,6 +108,26 @@
     wait_until(|| knows(&node, "a", 8));
 }
 
+/// A successor that took over while its predecessor's list was incomplete never requested the full list.
+#[test]
+fn successor_of_a_sender_with_an_incomplete_list_requests_the_full_list() {
+    let discovery = Discovery::new(1, &[], AT_ONCE);
+    let predecessor = start_with_successor(&discovery, &[draining("e0", 7)]);
+    discovery.next();
+    discovery.set_pace(AnswerPace::Silent);
+    publish_too_many(&discovery);
+    while discovery.next().path != "/v1/endpoints" {}
+    let index = discovery.publish(&[draining("e1", 8)]);
+    discovery.set_pace(AT_ONCE);
+    let successor = predecessor.start_successor();
+    let watch = std::iter::repeat_with(|| discovery.next().path).find(|path| path != "/v1/endpoints");
+    assert!(
+        watch.unwrap().contains(&format!("?from={index}&")),
+        "not from the version of the incomplete list"
+    );
+    wait_until(|| knows(&successor, "a", 8));
+}
+
 /// After updates that were too many to apply, the full list is requested; a slow answer to that was never read either.
 #[test]
 fn full_list_after_too_many_updates_is_read_however_slow_the_answer_is() {
@@ -98,10 +135,7 @@
     let node = start(&discovery, &[draining("e0", 7)]);
     discovery.next();
     discovery.set_pace(SLOW);
-    // One more than the entries that may wait to be applied.
-    let many: Vec<_> =
-        (0..=200_000).map(|n| json!({"name": format!("m{n}"), "group": 9, "status": "leaving"})).collect();
-    discovery.publish(&many);
+    publish_too_many(&discovery);
     while discovery.next().path != "/v1/endpoints" {}
     let index = discovery.publish(&[draining("e1", 8)]);
     let requested_at = Instant::now();
@@ -137,3 +171,38 @@
     assert!(new.requests.recv_timeout(Duration::from_secs(3)).is_err(), "one watch is open and nothing else");
     assert!(old.requests.try_recv().is_err(), "nothing goes to the old address");
 }
+
+/// A successor that took over while the first answer of a new address was under way watched that address from the version
+/// of the address before.
+#[test]
+fn successor_requests_the_full_list_that_its_predecessor_waited_for() {
+    let old = Discovery::new(50, &[draining("e0", 7)], AT_ONCE);
+    let new = Discovery::new(41, &[draining("e1", 8)], SLOW);
+    let predecessor = start_with_successor(&old, &[draining("e0", 7)]);
+    old.watched_from(50, TIMEOUT);
+    move_discovery(&predecessor, &new);
+    new.next();
+    let successor = predecessor.start_successor();
+    let (_, earlier) = new.watched_from(41, TOLD_AFTER_REACHABLE);
+    assert!(earlier > 0, "the successor requests the full list first");
+    wait_until(|| knows(&successor, "a", 8));
+}
+
+/// A new address that came while the first poll was delayed was watched from the version of the address before.
+#[test]
+fn address_that_changes_before_the_first_poll_is_asked_for_the_full_list() {
+    let old = Discovery::new(50, &[draining("e0", 7)], AT_ONCE);
+    let new = Discovery::new(41, &[draining("e1", 8)], AT_ONCE);
+    let node = Node::start(&program(), &Platform::new(), &[draining("e0", 7)], |config| {
+        config["discovery"] = json!(old.address.to_string());
+        config["known"]["index"] = json!(50);
+        // Many senders spread their first polls over up to two seconds; this seed's delay is over one.
+        config["settings"]["balancers"] = json!(300);
+        config["settings"]["obligations"]["stop_sending_within_us"] = json!(10_000_000);
+        config["seed"] = json!("3");
+    });
+    move_discovery(&node, &new);
+    assert_eq!(new.next().path, "/v1/endpoints");
+    assert!(old.requests.try_recv().is_err(), "the first poll was delayed");
+    wait_until(|| knows(&node, "a", 8));
+}
