An endpoint list that arrives in pieces is read, and one that stops is noticed

Cause: the time limits of an endpoint's answer applied to discovery's: 0.5 s from the first byte to the end of the head (http/connection.rs), and 5 s for the body (platform_client.rs). And a watch whose answer stops in its middle was replaced after 5 s, so that with a slow discovery its change was not known 6 s later.

Change: the poll alone limits the time. An answer that has begun is overdue after 3 s, whatever is left of its hold: more than discovery takes for one, and a further request that takes as long is answered within the 6 s after which a change counts as told. Parsing is no part of it. Endpoints' limits are as before.

--- a/crates/sender/src/discovery/poll.rs
+++ b/crates/sender/src/discovery/poll.rs
@@ -16,9 +16,12 @@
 /// Time after the end of its hold at which a long poll is overdue. A change that was missed because discovery does not
 /// respond is binding 2 s after the end of the hold, so that the failure has to be noticed earlier.
 const LONG_POLL_OVERDUE: Duration = Duration::from_millis(1_500);
-/// How long the answer to an attempt is waited for, from the end of its hold. A change is binding this long after
-/// discovery had it and could be reached, so that a later answer would not be in time.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time after which an answer that has begun is overdue: over the longest time that discovery takes for one, and leaving
+/// as much for the next request before changes are binding.
+const ANSWER_OVERDUE: Duration = Duration::from_secs(3);
+/// How long the answer to an attempt is waited for, from the end of its hold, and how long its end once it has begun. A
+/// change is binding this long after discovery had it and could be reached, so that a later answer would not be in time.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// What a poll asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,7 +51,7 @@
         }
     }
 
-    /// The time from the start of an attempt after which its answer is not waited for any more.
+    /// The time from the start of an attempt after which an answer that has not begun is not waited for any more.
     pub fn answer_timeout(self) -> Duration {
         match self {
             Self::FullList => ANSWER_TIMEOUT,
@@ -101,11 +104,6 @@
         Self { request, started: 0, latest: LatestAttempt::NextAt(now) }
     }
 
-    /// What it asks for.
-    pub fn request(&self) -> PollRequest {
-        self.request
-    }
-
     /// Number of attempts that were started.
     pub fn attempts(&self) -> u32 {
         self.started
@@ -137,6 +135,15 @@
         }
     }
 
+    /// Records that the answer to an attempt has begun: it may stop in the middle, at any time of the hold.
+    pub fn answer_began(&mut self, attempt: AttemptNumber, now: Duration) {
+        if let LatestAttempt::Pending { overdue_at } = &mut self.latest
+            && attempt.0 == self.started
+        {
+            *overdue_at = (*overdue_at).min(now + ANSWER_OVERDUE);
+        }
+    }
+
     /// Records that an attempt failed. Returns whether that delays the poll: the failure of an attempt that was overdue
     /// changes nothing, since a further one follows it anyway.
     pub fn failed(
--- a/crates/sender/src/discovery/poll/tests.rs
+++ b/crates/sender/src/discovery/poll/tests.rs
@@ -66,6 +66,23 @@
     assert_eq!(poll.attempts(), 1);
 }
 
+/// An answer that begins during the hold of a long poll and stops is overdue as soon as that of any other request, and one
+/// that begins when it is overdue already changes nothing.
+#[test]
+fn answer_that_stops_is_overdue_before_the_end_of_the_hold() {
+    let (mut poll, mut schedule) = (Poll::new(FROM, Duration::ZERO), schedule());
+    poll.next_step(Duration::ZERO, &mut schedule);
+    let began_at = Duration::from_secs(3);
+    poll.answer_began(AttemptNumber(1), began_at);
+    assert_eq!(poll.due(), began_at + ANSWER_OVERDUE);
+    assert_eq!(poll.next_step(poll.due(), &mut schedule), Some(PollStep::Overdue));
+    let next_at = poll.due();
+    poll.answer_began(AttemptNumber(1), next_at);
+    poll.next_step(next_at, &mut schedule);
+    poll.answer_began(AttemptNumber(1), next_at);
+    assert_eq!(poll.due(), next_at + LONG_POLL + LONG_POLL_OVERDUE, "the second attempt has its own time");
+}
+
 /// The attempts that are still open when discovery comes back may all fail at once: only the latest one's failure counts, so
 /// that discovery doesn't get a burst, and the backoff doesn't grow with each of them.
 #[test]
--- a/crates/sender/src/discovery/watch.rs
+++ b/crates/sender/src/discovery/watch.rs
@@ -1,19 +1,21 @@
 //! The watch on the endpoint list: polls of discovery for as long as the process runs.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use decision::interface::Event;
 use hyper::{Request, StatusCode};
-use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Notify, watch::Receiver};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::watch::Receiver;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinSet;
 use tokio::time::{Duration, Instant, sleep, sleep_until, timeout};
 
 use crate::discovery::endpoint_list::{EndpointList, EndpointUpdate};
-use crate::discovery::poll::{AttemptNumber, Poll, PollRequest, PollStep};
+use crate::discovery::poll::{ANSWER_TIMEOUT, AttemptNumber, Poll, PollRequest, PollStep};
 use crate::discovery::poll_schedule::{PollFailure, PollSchedule};
 use crate::http::connection::Connection;
 use crate::platform_client::send_request;
@@ -32,14 +34,14 @@
 }
 
 /// The answer to an attempt, and its connection if that can be used again.
-struct Answer {
-    list: EndpointList,
+struct Answer<List> {
+    list: List,
     connection: Option<Connection>,
 }
 
 /// How a poll ended.
 enum PollEnd {
-    Answered(Box<Answer>),
+    Answered(Answer<EndpointList>),
     /// Discovery has another address.
     Moved,
     /// The changes that were asked for are not enough: the full list has to be fetched.
@@ -87,8 +89,7 @@
             }
             let request = PollRequest::after(version);
             match self.poll(request, address, kept.take()).await {
-                PollEnd::Answered(answer) => {
-                    let Answer { list, connection } = *answer;
+                PollEnd::Answered(Answer { list, connection }) => {
                     self.schedule.answered();
                     (version, kept) = (Some(list.index), connection);
                     let update = EndpointUpdate { list: Arc::new(list), source: address };
@@ -110,11 +111,14 @@
     ) -> PollEnd {
         let mut poll = Poll::new(request, self.started_at.elapsed());
         let mut attempts = JoinSet::new();
+        let (began_sender, mut began) = unbounded_channel();
         loop {
             while let Some(step) = poll.next_step(self.started_at.elapsed(), &mut self.schedule) {
                 match step {
                     PollStep::StartAttempt(number) => {
-                        attempts.spawn_local(attempt(number, request, address, kept.take()));
+                        let fetched =
+                            fetch_reporting(number, request, address, kept.take(), began_sender.clone());
+                        attempts.spawn_local(async move { (number, fetched.await) });
                     }
                     PollStep::Overdue => self.report_overdue(&poll),
                 }
@@ -130,11 +134,15 @@
                     }
                 }
                 Some(ended) = attempts.join_next() => match ended {
-                    Ok((_, Ok(answer))) => return PollEnd::Answered(Box::new(answer)),
+                    Ok((number, Ok(Answer { list, connection }))) => match parse_list(list).await {
+                        Some(list) => return PollEnd::Answered(Answer { list, connection }),
+                        None => self.attempt_failed(&mut poll, number, PollFailure::Broken),
+                    },
                     Ok((number, Err(failure))) => self.attempt_failed(&mut poll, number, failure),
                     // The attempt panicked; a further one follows when it is overdue.
                     Err(_) => {}
                 },
+                Some(number) = began.recv() => poll.answer_began(number, self.started_at.elapsed()),
                 () = sleep_until(due) => {}
             }
         }
@@ -159,30 +167,37 @@
     }
 }
 
-/// Sends one request for the list, over the kept connection if there is one, and reads the answer.
-async fn attempt(
+/// Carries out an attempt within its time, and reports when its answer begins.
+async fn fetch_reporting(
     number: AttemptNumber,
     request: PollRequest,
     address: SocketAddr,
     kept: Option<Connection>,
-) -> (AttemptNumber, Result<Answer, PollFailure>) {
-    let answer = timeout(request.answer_timeout(), fetch(request, address, kept)).await;
-    (number, answer.unwrap_or(Err(PollFailure::Broken)))
+    began: UnboundedSender<AttemptNumber>,
+) -> Result<Answer<Bytes>, PollFailure> {
+    let (first_byte_sender, first_byte) = oneshot::channel();
+    let mut answer = pin!(fetch(request, address, kept, first_byte_sender));
+    tokio::select! {
+        answer = &mut answer => return answer,
+        Ok(()) = first_byte => {}
+        () = sleep(request.answer_timeout()) => return Err(PollFailure::Broken),
+    }
+    let _ = began.send(number);
+    timeout(ANSWER_TIMEOUT, answer).await.unwrap_or(Err(PollFailure::Broken))
 }
 
+/// Sends one request for the list, over the kept connection if there is one, and reads the answer.
 async fn fetch(
     request: PollRequest,
     address: SocketAddr,
     mut connection: Option<Connection>,
-) -> Result<Answer, PollFailure> {
+    first_byte: oneshot::Sender<()>,
+) -> Result<Answer<Bytes>, PollFailure> {
     let request = Request::get(request.path()).header("host", address.to_string()).body(Bytes::new());
     let request = request.map_err(|_| PollFailure::Broken)?;
-    let answer = send_request(&mut connection, address, request).await.map_err(|()| PollFailure::Broken)?;
-    match answer {
-        (StatusCode::OK, body) => {
-            let list = parse_list(body).await.ok_or(PollFailure::Broken)?;
-            Ok(Answer { list, connection })
-        }
+    let answer = send_request(&mut connection, address, request, Some(first_byte)).await;
+    match answer.map_err(|()| PollFailure::Broken)? {
+        (StatusCode::OK, list) => Ok(Answer { list, connection }),
         (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _) => Err(PollFailure::Rejected),
         _ => Err(PollFailure::Broken),
     }
--- a/crates/sender/src/http/client.rs
+++ b/crates/sender/src/http/client.rs
@@ -500,8 +500,12 @@
             let shared = self.clone();
             let permit: SendPermit =
                 Box::pin(async move { shared.may_send(route, target).await && Instant::now() < send_before });
-            let options =
-                SendOptions { last_byte_delay, reused, answer_times: self.answer_times(target, deadline) };
+            let options = SendOptions {
+                last_byte_delay,
+                reused,
+                answer_times: self.answer_times(target, deadline),
+                head_timeout: Some(BODY_TIMEOUT),
+            };
             let answer = conn.0.send_delayed(request, options, &progress.may_run, permit).await;
             // The head of the request, at least one byte, precedes the body.
             let written = conn.0.traffic.written.get() - before;
--- a/crates/sender/src/http/connection.rs
+++ b/crates/sender/src/http/connection.rs
@@ -20,6 +20,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::connection_reuse::{AnswerBytes, AnswerHistory, AnswerTimes, CopyFilter};
@@ -98,6 +99,8 @@
     last_byte_at: Cell<Option<Instant>>,
     /// Nothing may arrive now: any byte fails the connection.
     expect_silence: Cell<bool>,
+    /// Is told of the next byte that is received.
+    first_byte: RefCell<Option<oneshot::Sender<()>>>,
 }
 
 impl Traffic {
@@ -116,6 +119,11 @@
 
     /// Records received bytes.
     fn received(&self, bytes: &[u8]) {
+        if !bytes.is_empty()
+            && let Some(first_byte) = self.first_byte.borrow_mut().take()
+        {
+            let _ = first_byte.send(());
+        }
         let interim_end = self.status_line.borrow_mut().observe(bytes);
         if interim_end.is_some() {
             self.answer.take();
@@ -282,6 +290,8 @@
     /// In what time the endpoint answers, if that is known. On a reused connection an earlier response that equals the one
     /// before it is held back, since it may be a copy.
     pub(super) answer_times: Option<AnswerTimes>,
+    /// Time from the first byte of the response to the end of its head, or none if the caller limits it.
+    pub(super) head_timeout: Option<Duration>,
 }
 
 /// Why a request has no response.
@@ -348,7 +358,12 @@
         self.answers.add(self.traffic.answer.take())
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Tells `first_byte` once the first byte of the next response has been received.
+    pub fn notify_first_byte(&self, first_byte: oneshot::Sender<()>) {
+        self.traffic.first_byte.replace(Some(first_byte));
+    }
+
+    /// Sends a request and waits for the head of the response. The caller limits the time.
     ///
     /// # Errors
     /// Fails when the connection breaks or the response is invalid.
@@ -370,7 +385,7 @@
         may_run: &Rc<Cell<bool>>,
         permit: SendPermit,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        let SendOptions { last_byte_delay, reused, answer_times } = options;
+        let SendOptions { last_byte_delay, reused, answer_times, head_timeout } = options;
         let filter = answer_times.filter(|_| reused).and_then(|times| self.answers.filter(times));
         self.traffic.expect_response(filter);
         let traffic = self.traffic.clone();
@@ -392,18 +407,19 @@
         });
         let started = || traffic.status_line.borrow().started;
         let mut sent = pin!(self.sender.send_request(request));
-        let mut body_timeout = pin!(None);
+        let mut head_expiry = pin!(None);
         let (driver, failed) = (&mut self.driver, &mut self.failed);
         let answer = poll_fn(|cx| {
             Self::drive(driver, failed, cx);
             if let Poll::Ready(answer) = sent.as_mut().poll(cx) {
                 return Poll::Ready(Some(answer));
             }
-            if body_timeout.is_some() != started() {
-                body_timeout.set(started().then(|| sleep(BODY_TIMEOUT)));
+            let Some(head_timeout) = head_timeout else { return Poll::Pending };
+            if head_expiry.is_some() != started() {
+                head_expiry.set(started().then(|| sleep(head_timeout)));
             }
-            match body_timeout.as_mut().as_pin_mut() {
-                Some(body_timeout) => body_timeout.poll(cx).map(|()| None),
+            match head_expiry.as_mut().as_pin_mut() {
+                Some(head_expiry) => head_expiry.poll(cx).map(|()| None),
                 None => Poll::Pending,
             }
         });
@@ -423,24 +439,24 @@
     /// # Errors
     /// Fails when the body is truncated, too long or not received in time.
     pub async fn body(&mut self, body: Incoming) -> Result<Bytes, ()> {
-        self.body_within(body, MAX_BODY_BYTES, BODY_TIMEOUT).await
+        timeout(BODY_TIMEOUT, self.body_limited(body, MAX_BODY_BYTES)).await.map_err(|_| ())?
     }
 
-    /// Reads the body of a response of at most `limit` bytes, which has to be received within this time.
+    /// Reads the body of a response of at most `limit` bytes. The caller limits the time.
     ///
     /// # Errors
-    /// As [`Self::body`].
-    pub async fn body_within(&mut self, body: Incoming, limit: usize, within: Duration) -> Result<Bytes, ()> {
+    /// Fails when the body is truncated or too long.
+    pub async fn body_limited(&mut self, body: Incoming, limit: usize) -> Result<Bytes, ()> {
         if body.size_hint().lower() > limit as u64 {
             return Err(());
         }
-        let mut collected = pin!(timeout(within, Limited::new(body, limit).collect()));
+        let mut collected = pin!(Limited::new(body, limit).collect());
         let (driver, failed) = (&mut self.driver, &mut self.failed);
         let collected = poll_fn(|cx| {
             Self::drive(driver, failed, cx);
             collected.as_mut().poll(cx)
         });
-        collected.await.map_err(|_| ())?.map(|body| body.to_bytes()).map_err(|_| ())
+        collected.await.map(|body| body.to_bytes()).map_err(|_| ())
     }
 }
 
--- a/crates/sender/src/notifications.rs
+++ b/crates/sender/src/notifications.rs
@@ -37,10 +37,10 @@
 ) -> Result<(StatusCode, Bytes), ()> {
     let mut other = None;
     let answer = {
-        let mut first = pin!(send_request(kept, address, request.clone()));
+        let mut first = pin!(send_request(kept, address, request.clone(), None));
         let mut second = pin!(async {
             tokio::time::sleep(HEDGE_DELAY).await;
-            send_request(&mut other, address, request).await
+            send_request(&mut other, address, request, None).await
         });
         tokio::select! {
             answer = &mut first => answer,
--- a/crates/sender/tests/node/slow_discovery.rs
+++ b/crates/sender/tests/node/slow_discovery.rs
@@ -206,3 +206,35 @@
     assert!(old.requests.try_recv().is_err(), "the first poll was delayed");
     wait_until(|| knows(&node, "a", 8));
 }
+
+/// The head of an answer had half a second from its first byte, and its body five seconds in all.
+#[test]
+fn lists_that_arrive_in_pieces_are_read() {
+    let pace = AnswerPace::InPieces(SLOWEST_ANSWER);
+    let first = Discovery::new(5, &[draining("e1", 8)], pace);
+    let second = Discovery::new(41, &[draining("e2", 9)], pace);
+    let node = start(&first, &[draining("e0", 7)]);
+    first.watched_from(5, TOLD_AFTER_REACHABLE);
+    let moved_at = move_discovery(&node, &second);
+    second.watched_from(41, TOLD_AFTER_SIGHUP);
+    assert!(moved_at.elapsed() < TOLD_AFTER_SIGHUP);
+    // A change, which the watch reports in pieces too.
+    second.publish(&[draining("e3", 10)]);
+    second.watched_from(42, TOLD_AFTER_REACHABLE);
+    wait_until(|| knows(&node, "a", 10));
+}
+
+/// A watch whose answer stops in the middle is silent from then on: that has to be noticed as soon as for any other request,
+/// not at the end of its hold.
+#[test]
+fn watch_that_falls_silent_within_its_answer_is_replaced_in_time() {
+    let discovery = Discovery::new(1, &[draining("e0", 7)], AnswerPace::Stops);
+    let node = start(&discovery, &[draining("e0", 7)]);
+    discovery.next();
+    discovery.set_pace(SLOW);
+    let index = discovery.publish(&[draining("e1", 8)]);
+    let silent_from = Instant::now();
+    discovery.watched_from(index, TOLD_AFTER_REACHABLE);
+    assert!(silent_from.elapsed() < TOLD_AFTER_REACHABLE);
+    wait_until(|| knows(&node, "a", 8));
+}
--- a/crates/test-doubles/src/discovery.rs
+++ b/crates/test-doubles/src/discovery.rs
@@ -19,6 +19,8 @@
     After(Duration),
     /// The answer is written in pieces over this time, half of it for the head, the first piece at once.
     InPieces(Duration),
+    /// The answer stops in the middle of its body, and the connection stays open.
+    Stops,
     /// The connection stays open and nothing is ever written on it.
     Silent,
 }
@@ -166,9 +168,13 @@
     bytes.chunks(bytes.len().div_ceil(count).max(1))
 }
 
-/// Writes an answer at once, or in pieces.
+/// Writes an answer at once, in pieces, or half of its body.
 fn write_answer(output: &mut TcpStream, head: &[u8], body: &[u8], pace: AnswerPace) -> std::io::Result<()> {
-    let AnswerPace::InPieces(duration) = pace else { return output.write_all(&[head, body].concat()) };
+    let duration = match pace {
+        AnswerPace::InPieces(duration) => duration,
+        AnswerPace::Stops => return output.write_all(&[head, &body[..body.len() / 2]].concat()),
+        AnswerPace::After(_) | AnswerPace::Silent => return output.write_all(&[head, body].concat()),
+    };
     let interval = duration / (2 * PIECES as u32);
     for piece in pieces(head, PIECES).chain(pieces(body, PIECES)) {
         output.write_all(piece)?;
