A notification that is acknowledged late is not repeated for ever

Cause: a request to /reports was given up after 0.5 s and sent anew 50 ms later, so that a slower answer is never read (notifications.rs, `send_all`).

Up to eight connections to the platform can be open for that; the descriptors that are set aside for a shard grow from 8 to 12, those of the first suffice.

Test: node/slow_notifications, seen to fail on the commit before.

--- a/crates/sender/src/process/sockets.rs
+++ b/crates/sender/src/process/sockets.rs
@@ -19,8 +19,8 @@
 
 /// File descriptors that are used neither for clients nor for endpoints.
 const OWN_SOCKETS: usize = 32;
-/// File descriptors of each shard: its runtime and its connection to the platform.
-const SHARD_SOCKETS: usize = 8;
+/// File descriptors of each shard: its runtime and up to eight connections to the platform, while that does not answer.
+const SHARD_SOCKETS: usize = 12;
 /// While two processes run, each divides its limits of connections to clients and endpoints by this. Together with the
 /// calls that the predecessor still has in flight, both stay within the file descriptors of one process.
 pub(super) const HANDOVER_DIVISOR: usize = 3;
--- a/crates/sender/tests/node/main.rs
+++ b/crates/sender/tests/node/main.rs
@@ -16,6 +16,7 @@
 mod second_copies;
 mod slow_connects;
 mod slow_discovery;
+mod slow_notifications;
 
 use std::collections::BTreeSet;
 
