Messages of one iteration count the ledger space of each other's outcomes

The sum was also made anew for each submission.

Change: SpaceNeeded has both parts; the event loop keeps the sum of the iteration's submissions. What limits the ledger is as before.

--- a/crates/journal/src/shards.rs
+++ b/crates/journal/src/shards.rs
@@ -12,7 +12,7 @@
 
 use crate::error::{AppendError, JournalClosed};
 use crate::record::{AcceptedMessage, LedgerEntry, Micros, PendingMessage, Record};
-use crate::state::{ByNumber, State, reserved_size};
+use crate::state::{ByNumber, SpaceNeeded, State};
 use crate::store::{Capacity, Journal, Shortage};
 
 /// Message numbers that a shard reserves at a time.
@@ -163,15 +163,14 @@
     }
 
     /// As [`Journal::space_needed`].
-    pub fn space_needed(&self, message: &AcceptedMessage) -> u64 {
-        reserved_size(message) + self.state.ledger_size(message)
+    pub fn space_needed(&self, message: &AcceptedMessage) -> SpaceNeeded {
+        self.state.space_needed(message)
     }
 
     /// As [`Journal::shortage`] as of the last append of any shard. Messages that other shards have admitted since
     /// are not counted, so that an append may still reach the limit.
-    pub fn shortage(&self, message: &AcceptedMessage, pending: u64) -> Option<Shortage> {
-        let ledger_size = self.state.ledger_size(message);
-        lock(&self.shared.capacity).shortage(self.space_needed(message), ledger_size, pending)
+    pub fn shortage(&self, message: &AcceptedMessage, pending: SpaceNeeded) -> Option<Shortage> {
+        lock(&self.shared.capacity).shortage(self.space_needed(message), pending)
     }
 
     /// Whether the ledger keeps the outcomes of this class.
--- a/crates/journal/src/state.rs
+++ b/crates/journal/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::hash::{BuildHasherDefault, Hasher};
+use std::ops::{AddAssign, SubAssign};
 
 use crate::format::{FRAME_HEADER_SIZE, relocated_size};
 use crate::record::{AcceptedMessage, Attempt, LedgerEntry, Micros, PendingMessage, Record};
@@ -47,6 +48,29 @@
     (FRAME_HEADER_SIZE + TAG + DELIVERED + TIME + ID_LENGTH + id.len()) as u64
 }
 
+/// The space that messages need until their outcomes, in bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SpaceNeeded {
+    /// All of it.
+    pub total: u64,
+    /// The part for ledger entries.
+    pub ledger: u64,
+}
+
+impl AddAssign for SpaceNeeded {
+    fn add_assign(&mut self, other: Self) {
+        self.total += other.total;
+        self.ledger += other.ledger;
+    }
+}
+
+impl SubAssign for SpaceNeeded {
+    fn sub_assign(&mut self, other: Self) {
+        self.total -= other.total;
+        self.ledger -= other.ledger;
+    }
+}
+
 /// An entry of the ledger, and where it is stored.
 #[derive(Debug, Clone)]
 pub struct StoredEntry {
@@ -115,6 +139,12 @@
         if self.retains(&message.class) { ledger_entry_size(&message.id) } else { 0 }
     }
 
+    /// The space that a message needs until its outcome.
+    pub fn space_needed(&self, message: &AcceptedMessage) -> SpaceNeeded {
+        let ledger = self.ledger_size(message);
+        SpaceNeeded { total: reserved_size(message) + ledger, ledger }
+    }
+
     /// The ledger's entries by number, oldest first.
     pub fn ledger(&self) -> impl Iterator<Item = (u64, &StoredEntry)> {
         self.ledger.iter().map(|(number, stored)| (*number, stored))
--- a/crates/journal/src/store/capacity.rs
+++ b/crates/journal/src/store/capacity.rs
@@ -7,7 +7,7 @@
 use super::{Journal, SLICE_BYTES};
 use crate::record::AcceptedMessage;
 use crate::segment::size_on_disk;
-use crate::state::{LATER_RECORDS_SIZE, reserved_size};
+use crate::state::{LATER_RECORDS_SIZE, SpaceNeeded};
 
 /// Bytes reserved for the outcome of each pending message when other records are appended.
 const OUTCOME_RESERVE: u64 = 64;
@@ -53,16 +53,16 @@
 }
 
 impl Capacity {
-    /// Returns the limit that a message would exceed which needs `size` bytes, `ledger_size` of them for its ledger
-    /// entry, given that `pending` bytes are already reserved for messages that are not appended yet.
-    pub fn shortage(&self, size: u64, ledger_size: u64, pending: u64) -> Option<Shortage> {
+    /// Returns the limit that a message would exceed which needs this space, given that `pending` is already reserved
+    /// for messages that are not appended yet.
+    pub fn shortage(&self, needed: SpaceNeeded, pending: SpaceNeeded) -> Option<Shortage> {
         // The space of the ledger entry is reserved for each pending message of the ledger's classes, so that no entry
         // is dropped early. At the limit new messages of these classes are rejected until older entries have expired.
-        if ledger_size > 0 && ledger_size > self.ledger_free {
+        if needed.ledger > 0 && pending.ledger + needed.ledger > self.ledger_free {
             return Some(Shortage::Ledger);
         }
-        let reserved = self.reserved + pending + size;
-        let committed = self.committed + pending + size;
+        let reserved = self.reserved + pending.total + needed.total;
+        let committed = self.committed + pending.total + needed.total;
         (reserved > self.limit / 2 || committed > self.limit).then_some(Shortage::Disk)
     }
 }
@@ -81,21 +81,21 @@
         }
     }
 
-    /// Bytes that a message would reserve; see [`Journal::has_capacity`].
-    pub fn space_needed(&self, message: &AcceptedMessage) -> u64 {
-        reserved_size(message) + self.state.ledger_size(message)
+    /// The space that a message would reserve; see [`Journal::shortage`].
+    pub fn space_needed(&self, message: &AcceptedMessage) -> SpaceNeeded {
+        self.state.space_needed(message)
     }
 
-    /// Returns whether a further message can be stored until its outcome, given that `pending` bytes are already
-    /// reserved for messages that are not appended yet.
+    /// Returns whether a further message can be stored until its outcome, given that `pending` bytes, none of them for
+    /// ledger entries, are already reserved for messages that are not appended yet.
     pub fn has_capacity(&self, message: &AcceptedMessage, pending: u64) -> bool {
-        self.shortage(message, pending).is_none()
+        self.shortage(message, SpaceNeeded { total: pending, ledger: 0 }).is_none()
     }
 
-    /// Returns the limit because of which a further message can't be stored until its outcome; see
-    /// [`Journal::has_capacity`].
-    pub fn shortage(&self, message: &AcceptedMessage, pending: u64) -> Option<Shortage> {
-        self.capacity().shortage(self.space_needed(message), self.state.ledger_size(message), pending)
+    /// Returns the limit because of which a further message can't be stored until its outcome, given that `pending` is
+    /// already reserved for messages that are not appended yet.
+    pub fn shortage(&self, message: &AcceptedMessage, pending: SpaceNeeded) -> Option<Shortage> {
+        self.capacity().shortage(self.space_needed(message), pending)
     }
 
     /// The capacity for further messages.
--- a/crates/sender/src/event_loop/iteration.rs
+++ b/crates/sender/src/event_loop/iteration.rs
@@ -5,7 +5,7 @@
 
 use admin::metrics::FinalOutcome;
 use decision::interface::{Action, EndpointId, Event, MessageId, Micros, Outcome};
-use journal::{Abandonment, AppendError, Record};
+use journal::{Abandonment, AppendError, Record, SpaceNeeded};
 
 use super::calls::PlannedAttempt;
 use super::{EventLoop, PendingSubmission};
@@ -36,6 +36,7 @@
         self.policy.handle(now, &events, &mut actions);
         let mut records = std::mem::take(&mut self.unwritten_records);
         let mut submissions = std::mem::take(&mut self.submissions);
+        self.submitted_space = SpaceNeeded::default();
         let Decisions { abandoned, attempts } = self.carry_out(actions, &submissions);
         for (number, abandonment) in abandoned {
             self.abandon(number, abandonment, &mut submissions, &mut records);
--- a/crates/sender/src/event_loop/messages.rs
+++ b/crates/sender/src/event_loop/messages.rs
@@ -37,9 +37,7 @@
             let _ = answer.send(Answer::Rejected(RETRY_AFTER_UNLISTED));
             return;
         }
-        let pending_bytes: u64 =
-            self.submissions.values().map(|pending| self.journal.space_needed(&pending.message)).sum();
-        if let Some(shortage) = self.journal.shortage(&message, pending_bytes) {
+        if let Some(shortage) = self.journal.shortage(&message, self.submitted_space) {
             if shortage == Shortage::Ledger {
                 self.warn_ledger_full();
             }
@@ -54,6 +52,7 @@
         };
         events.push(Event::Accepted(decision_message(number, class, &message, self.iteration_time)));
         self.pending_by_id.insert(message.id.clone(), (number, request));
+        self.submitted_space += self.journal.space_needed(&message);
         self.submissions.insert(number, PendingSubmission { message, waiters: vec![(request, answer)] });
     }
 
@@ -92,6 +91,7 @@
             if !submission.waiters.is_empty() {
                 return;
             }
+            self.submitted_space -= self.journal.space_needed(&submission.message);
             self.submissions.remove(&number);
         } else if submitted_by == request {
             self.complete(number, false);
--- a/crates/sender/src/event_loop/mod.rs
+++ b/crates/sender/src/event_loop/mod.rs
@@ -30,7 +30,7 @@
 use admin::metrics::OutcomeCounts;
 use decision::interface::Micros;
 use decision::policy::Policy;
-use journal::{Abandonment, AcceptedMessage, Record};
+use journal::{Abandonment, AcceptedMessage, Record, SpaceNeeded};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -129,6 +129,8 @@
     attempts: HashMap<u32, u16>,
     /// Messages submitted since the last iteration, by message number.
     submissions: BTreeMap<u32, PendingSubmission>,
+    /// The space that the submissions need in the journal.
+    submitted_space: SpaceNeeded,
     /// Records that are not written yet: those of this iteration, and those of an append that failed. No client
     /// was answered and no call started on the basis of them.
     unwritten_records: Vec<Record>,
--- a/crates/sender/src/event_loop/startup.rs
+++ b/crates/sender/src/event_loop/startup.rs
@@ -10,6 +10,7 @@
 use decision::policy::Policy;
 use handover::HandoverState;
 use health_snapshot::restore::RestoredState;
+use journal::SpaceNeeded;
 use sharding::ShardId;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, watch};
@@ -102,6 +103,7 @@
             pending_by_id: HashMap::new(),
             attempts: HashMap::new(),
             submissions: BTreeMap::new(),
+            submitted_space: SpaceNeeded::default(),
             unwritten_records: Vec::new(),
             unwritten_outcomes: HashMap::new(),
             next_journal_warning_at: 0,
--- a/crates/sender/src/persistence/journal.rs
+++ b/crates/sender/src/persistence/journal.rs
@@ -5,7 +5,7 @@
 use decision::interface::Micros;
 use journal::{
     AcceptedMessage, AppendError, ByNumber, Journal, JournalPart, LedgerEntry, PendingMessage, Record,
-    Shortage,
+    Shortage, SpaceNeeded,
 };
 
 /// The journal of an event loop.
@@ -37,7 +37,7 @@
     }
 
     /// As [`Journal::shortage`].
-    pub fn shortage(&self, message: &AcceptedMessage, pending: u64) -> Option<Shortage> {
+    pub fn shortage(&self, message: &AcceptedMessage, pending: SpaceNeeded) -> Option<Shortage> {
         match self {
             Self::Exclusive(journal) => journal.shortage(message, pending),
             Self::Sharded(journal_part) => journal_part.shortage(message, pending),
@@ -45,7 +45,7 @@
     }
 
     /// As [`Journal::space_needed`].
-    pub fn space_needed(&self, message: &AcceptedMessage) -> u64 {
+    pub fn space_needed(&self, message: &AcceptedMessage) -> SpaceNeeded {
         match self {
             Self::Exclusive(journal) => journal.space_needed(message),
             Self::Sharded(journal_part) => journal_part.space_needed(message),
--- a/crates/sender/tests/node/journal.rs
+++ b/crates/sender/tests/node/journal.rs
@@ -223,3 +223,49 @@
     assert!(!missing.status.success());
     call.reply(status(200));
 }
+
+/// Guards against a ledger that grows beyond its part of the disk: messages that arrive in one iteration of the event loop did
+/// not count the space of each other's outcomes.
+#[test]
+fn messages_of_one_iteration_share_what_is_left_of_the_ledger() {
+    const PERIOD_US: u64 = 300_000;
+    const AT_ONCE: usize = 30;
+    let id = |number: usize| format!("{number:0>200}");
+    let start = |platform: &Platform, endpoint: &ScriptedServer| {
+        Node::start(&program(), platform, &[listing("e1", 7, "plain", endpoint.address)], |config| {
+            config["limits"]["disk_mb"] = json!(0.03);
+        })
+    };
+    let deliver = |node: &Node, endpoint: &ScriptedServer, number| {
+        let before = node.journal_length();
+        if node.submit(&id(number), "order", 7, 20_000).status() != 202 {
+            return false;
+        }
+        endpoint.next().reply(status(200));
+        wait_until(|| node.journal_length() != before);
+        true
+    };
+    // What the ledger takes if each message has an iteration of its own.
+    let (platform, endpoint) = (Platform::new(), ScriptedServer::new());
+    let node = start(&platform, &endpoint);
+    let capacity = (0..).find(|number| !deliver(&node, &endpoint, *number)).unwrap();
+    drop(node);
+
+    let (platform, endpoint) = (Platform::new(), ScriptedServer::new());
+    let node = start(&platform, &endpoint);
+    let left = 3;
+    assert!((0..capacity - left).all(|number| deliver(&node, &endpoint, number)));
+    // The next process has long iterations.
+    let mut config = node.configuration();
+    config["settings"]["period_us"] = json!(PERIOD_US);
+    node.reconfigure(&config.to_string());
+    let node = node.kill_and_restart();
+    let mut clients: Vec<_> = (0..AT_ONCE).map(|_| Client::new(&node)).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.write(&submission(&id(capacity + number), "order", 7, 20_000));
+    }
+    let answers = clients.iter_mut().map(|client| client.answer().unwrap().status());
+    let accepted = answers.filter(|status| *status == 202).count();
+    // Fewer if the disk is short before compaction has caught up.
+    assert!((1..=left).contains(&accepted), "{accepted} of {AT_ONCE}; the ledger takes {capacity}");
+}
