--- a/crates/sender/src/discovery/poll.rs
+++ b/crates/sender/src/discovery/poll.rs
@@ -136,7 +136,7 @@
     }
 
     /// Records that the answer to an attempt has begun: it may stop in the middle, at any time of the hold.
-    pub fn answer_began(&mut self, attempt: AttemptNumber, now: Duration) {
+    pub fn answer_started(&mut self, attempt: AttemptNumber, now: Duration) {
         if let LatestAttempt::Pending { overdue_at } = &mut self.latest
             && attempt.0 == self.started
         {
--- a/crates/sender/src/discovery/poll/tests.rs
+++ b/crates/sender/src/discovery/poll/tests.rs
@@ -72,14 +72,14 @@
 fn answer_that_stops_is_overdue_before_the_end_of_the_hold() {
     let (mut poll, mut schedule) = (Poll::new(FROM, Duration::ZERO), schedule());
     poll.next_step(Duration::ZERO, &mut schedule);
-    let began_at = Duration::from_secs(3);
-    poll.answer_began(AttemptNumber(1), began_at);
-    assert_eq!(poll.due(), began_at + ANSWER_OVERDUE);
+    let started_at = Duration::from_secs(3);
+    poll.answer_started(AttemptNumber(1), started_at);
+    assert_eq!(poll.due(), started_at + ANSWER_OVERDUE);
     assert_eq!(poll.next_step(poll.due(), &mut schedule), Some(PollStep::Overdue));
     let next_at = poll.due();
-    poll.answer_began(AttemptNumber(1), next_at);
+    poll.answer_started(AttemptNumber(1), next_at);
     poll.next_step(next_at, &mut schedule);
-    poll.answer_began(AttemptNumber(1), next_at);
+    poll.answer_started(AttemptNumber(1), next_at);
     assert_eq!(poll.due(), next_at + LONG_POLL + LONG_POLL_OVERDUE, "the second attempt has its own time");
 }
 
--- a/crates/sender/src/discovery/watch.rs
+++ b/crates/sender/src/discovery/watch.rs
@@ -26,7 +26,7 @@
 
 /// The list that a watch begins with.
 #[derive(Debug, Clone, Copy)]
-pub struct KnownList {
+pub struct InitialList {
     /// The version to watch from, or none if the full list has to be fetched.
     pub version: Option<u64>,
     /// How long it remains valid, which delays the first poll.
@@ -62,21 +62,21 @@
 /// versions of two instances of discovery must not be mixed.
 pub async fn watch_endpoints(
     discovery: Receiver<SocketAddr>,
-    known: KnownList,
+    initial: InitialList,
     full_list_needed: Rc<Notify>,
     schedule: PollSchedule,
     inbound: UnboundedSender<Inbound>,
 ) {
     let started_at = Instant::now();
-    EndpointWatch { discovery, full_list_needed, schedule, inbound, started_at }.run(known).await;
+    EndpointWatch { discovery, full_list_needed, schedule, inbound, started_at }.run(initial).await;
 }
 
 impl EndpointWatch {
-    async fn run(mut self, known: KnownList) {
-        let mut version = known.version;
-        let mut kept = None;
+    async fn run(mut self, initial: InitialList) {
+        let mut version = initial.version;
+        let mut idle = None;
         let mut address = *self.discovery.borrow_and_update();
-        let first_delay = self.schedule.first_delay(known.good_for);
+        let first_delay = self.schedule.first_delay(initial.good_for);
         tokio::select! {
             () = sleep(first_delay) => {}
             Ok(()) = self.discovery.changed() => version = None,
@@ -85,13 +85,13 @@
             // The address may have changed at any time since the last poll began.
             let current = *self.discovery.borrow_and_update();
             if current != address {
-                (address, version, kept) = (current, None, None);
+                (address, version, idle) = (current, None, None);
             }
             let request = PollRequest::after(version);
-            match self.poll(request, address, kept.take()).await {
+            match self.poll(request, address, idle.take()).await {
                 PollEnd::Answered(Answer { list, connection }) => {
                     self.schedule.answered();
-                    (version, kept) = (Some(list.index), connection);
+                    (version, idle) = (Some(list.index), connection);
                     let update = EndpointUpdate { list: Arc::new(list), source: address };
                     if self.inbound.send(Inbound::EndpointsUpdated(update)).is_err() {
                         return;
@@ -107,17 +107,17 @@
         &mut self,
         request: PollRequest,
         address: SocketAddr,
-        mut kept: Option<Connection>,
+        mut idle: Option<Connection>,
     ) -> PollEnd {
         let mut poll = Poll::new(request, self.started_at.elapsed());
         let mut attempts = JoinSet::new();
-        let (began_sender, mut began) = unbounded_channel();
+        let (started_sender, mut started) = unbounded_channel();
         loop {
             while let Some(step) = poll.next_step(self.started_at.elapsed(), &mut self.schedule) {
                 match step {
                     PollStep::StartAttempt(number) => {
                         let fetched =
-                            fetch_reporting(number, request, address, kept.take(), began_sender.clone());
+                            fetch_reporting(number, request, address, idle.take(), started_sender.clone());
                         attempts.spawn_local(async move { (number, fetched.await) });
                     }
                     PollStep::Overdue => self.report_overdue(&poll),
@@ -142,7 +142,7 @@
                     // The attempt panicked; a further one follows when it is overdue.
                     Err(_) => {}
                 },
-                Some(number) = began.recv() => poll.answer_began(number, self.started_at.elapsed()),
+                Some(number) = started.recv() => poll.answer_started(number, self.started_at.elapsed()),
                 () = sleep_until(due) => {}
             }
         }
@@ -167,26 +167,26 @@
     }
 }
 
-/// Carries out an attempt within its time, and reports when its answer begins.
+/// Carries out an attempt within its time, and reports when its answer starts.
 async fn fetch_reporting(
     number: AttemptNumber,
     request: PollRequest,
     address: SocketAddr,
-    kept: Option<Connection>,
-    began: UnboundedSender<AttemptNumber>,
+    idle: Option<Connection>,
+    started: UnboundedSender<AttemptNumber>,
 ) -> Result<Answer<Bytes>, PollFailure> {
     let (first_byte_sender, first_byte) = oneshot::channel();
-    let mut answer = pin!(fetch(request, address, kept, first_byte_sender));
+    let mut answer = pin!(fetch(request, address, idle, first_byte_sender));
     tokio::select! {
         answer = &mut answer => return answer,
         Ok(()) = first_byte => {}
         () = sleep(request.answer_timeout()) => return Err(PollFailure::Broken),
     }
-    let _ = began.send(number);
+    let _ = started.send(number);
     timeout(ANSWER_TIMEOUT, answer).await.unwrap_or(Err(PollFailure::Broken))
 }
 
-/// Sends one request for the list, over the kept connection if there is one, and reads the answer.
+/// Sends one request for the list, over the idle connection if there is one, and reads the answer.
 async fn fetch(
     request: PollRequest,
     address: SocketAddr,
--- a/crates/sender/src/event_loop/startup.rs
+++ b/crates/sender/src/event_loop/startup.rs
@@ -21,7 +21,7 @@
 use crate::config::Config;
 use crate::discovery::directory::Directory;
 use crate::discovery::poll_schedule::PollSchedule;
-use crate::discovery::watch::{KnownList, watch_endpoints};
+use crate::discovery::watch::{InitialList, watch_endpoints};
 use crate::http;
 use crate::notifications::{self, Notification};
 use crate::ports::{Frontend, Inbound};
@@ -193,12 +193,12 @@
         let drain_timeout = Duration::from_micros(config.settings.rules.drain_timeout);
         let schedule = PollSchedule::new(config.settings.senders, drain_timeout, config.seed);
         let good_for = Duration::from_micros(restored.list.good_for);
-        let known = KnownList { version: list_version, good_for };
+        let initial = InitialList { version: list_version, good_for };
         // The first shard watches the list for all shards.
         (self.shard_id() == ShardId(0)).then(|| {
             tokio::task::spawn_local(watch_endpoints(
                 discovery,
-                known,
+                initial,
                 refetch_endpoints,
                 schedule,
                 self.inbound.clone(),
--- a/crates/sender/src/notifications.rs
+++ b/crates/sender/src/notifications.rs
@@ -119,7 +119,7 @@
         notifications,
         inbound,
         pending: BTreeMap::new(),
-        kept: None,
+        idle_connection: None,
         max_lines: usize::MAX,
     };
     while notifier.notify().await.is_ok() {}
@@ -131,7 +131,7 @@
     inbound: UnboundedSender<Inbound>,
     /// The lines that are not acknowledged.
     pending: BTreeMap<MessageId, Vec<u8>>,
-    kept: Option<Connection>,
+    idle_connection: Option<Connection>,
     /// Maximum number of lines of a request.
     max_lines: usize,
 }
@@ -146,7 +146,7 @@
             self.pending.insert(notification.message, line(&notification));
         }
         if self.discovery.has_changed().unwrap_or(false) {
-            self.kept = None;
+            self.idle_connection = None;
         }
         let address = *self.discovery.borrow_and_update();
         let mut attempts = JoinSet::new();
@@ -168,12 +168,12 @@
             tokio::select! {
                 biased;
                 Ok(()) = self.discovery.changed() => {
-                    self.kept = None;
+                    self.idle_connection = None;
                     return Ok(());
                 }
                 Some(ended) = attempts.join_next() => match ended {
                     Ok(ended) if self.answered(&ended)? => {
-                        self.kept = ended.connection;
+                        self.idle_connection = ended.connection;
                         return Ok(());
                     }
                     Ok(ended) if ended.number == started => next_attempt_at = Instant::now() + RETRY_DELAY,
@@ -204,10 +204,10 @@
         Ok((sent, request.map_err(|_| Closed)?))
     }
 
-    /// Takes the kept connection, unless the platform has closed it, which it may do with idle ones at any time.
+    /// Takes the idle connection, unless the platform has closed it, which it may do with idle ones at any time.
     async fn usable_connection(&mut self) -> Option<Connection> {
-        let mut kept = self.kept.take()?;
-        kept.usable().await.then_some(kept)
+        let mut connection = self.idle_connection.take()?;
+        connection.usable().await.then_some(connection)
     }
 
     /// Handles the answer of an attempt. Returns whether there was one that decides on its notifications.
