--- a/crates/sender/src/discovery/directory/tests.rs
+++ b/crates/sender/src/discovery/directory/tests.rs
@@ -4,6 +4,8 @@
 
 use decision::interface::MessageId;
 
+use super::updates::MAX_PENDING_ENTRIES;
+use crate::discovery::endpoint_list::{EndpointList, EndpointListing as Listed};
 use crate::ports::{CallMessage, WriteOptions};
 
 /// A transport that stores addresses and does nothing else.
