--- a/crates/sender/tests/node/slow_discovery.rs
+++ b/crates/sender/tests/node/slow_discovery.rs
@@ -238,3 +238,54 @@
     assert!(silent_from.elapsed() < TOLD_AFTER_REACHABLE);
     wait_until(|| knows(&node, "a", 8));
 }
+
+/// Seed of the random run; `DISCOVERY_SEED` sets another one, and `DISCOVERY_SECONDS` another length.
+const SEED: u64 = 61;
+const SECONDS: u64 = 30;
+
+/// A pace at which discovery answers within its longest time.
+fn random_pace(rng: &mut fastrand::Rng) -> AnswerPace {
+    let time = SLOWEST_ANSWER.mul_f64(rng.f64());
+    match rng.u8(0..3) {
+        0 => AT_ONCE,
+        1 => AnswerPace::After(time),
+        _ => AnswerPace::InPieces(time),
+    }
+}
+
+/// Whatever the pace of the answers, and however often discovery moves, the latest list is read before it counts as told.
+#[test]
+fn latest_list_is_read_in_time_at_any_pace() {
+    let number =
+        |name: &str, default: u64| std::env::var(name).map_or(default, |value| value.parse().unwrap());
+    let (seed, seconds) = (number("DISCOVERY_SEED", SEED), number("DISCOVERY_SECONDS", SECONDS));
+    println!("seed {seed}, {seconds} s");
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut discovery = Discovery::new(1, &[draining("e0", 7)], AT_ONCE);
+    let node = start(&discovery, &[draining("e0", 7)]);
+    let ends_at = Instant::now() + Duration::from_secs(seconds);
+    let (mut moves, mut changes, mut slowest) = (0, 0, Duration::ZERO);
+    while Instant::now() < ends_at {
+        if rng.u8(0..3) == 0 {
+            let first_pace = if rng.bool() { AnswerPace::Silent } else { random_pace(&mut rng) };
+            discovery = Discovery::new(rng.u64(1..90), &[draining("e0", 7)], first_pace);
+            move_discovery(&node, &discovery);
+            moves += 1;
+            std::thread::sleep(Duration::from_millis(rng.u64(0..3_000)));
+        }
+        for _ in 0..rng.u8(1..4) {
+            discovery.set_pace(random_pace(&mut rng));
+            std::thread::sleep(Duration::from_millis(rng.u64(0..1_500)));
+            if rng.u8(0..4) == 0 {
+                // The same address once more.
+                node.signal("-HUP");
+            }
+        }
+        let index = discovery.publish(&[draining("e0", 7), draining("e1", 8)]);
+        changes += 1;
+        let published_at = Instant::now();
+        let (read_at, _) = discovery.watched_from(index, TOLD_AFTER_REACHABLE);
+        slowest = slowest.max(read_at - published_at);
+    }
+    println!("{moves} moves, {changes} changes, the slowest read after {slowest:?}");
+}
