The first shard alone drops lists of a former discovery instance

From reading, not seen: after a failed hand-over the first shard may have read the new address before the signal that tells it to the others, which then dropped the lists that it passed on. With one event loop nothing changes.

--- a/crates/sender/src/event_loop/inbound.rs
+++ b/crates/sender/src/event_loop/inbound.rs
@@ -2,6 +2,7 @@
 
 use admin::gate::AdmissionGate;
 use decision::interface::{Event, MessageId};
+use sharding::ShardId;
 
 use super::{EventLoop, SHUTDOWN_TIMEOUT, endpoints_of_attempts};
 use crate::config;
@@ -11,6 +12,9 @@
 impl EventLoop {
     /// Handles one message of another task, or forwards it to the shard that has to handle it.
     pub(super) fn handle_inbound(&mut self, inbound: Inbound, events: &mut Vec<Event>) {
+        if self.is_of_former_discovery(&inbound) {
+            return;
+        }
         let Some(inbound) = self.route_inbound(inbound) else { return };
         match inbound {
             Inbound::Submitted(message) => self.accept_submission(message, events),
@@ -32,13 +36,16 @@
         }
     }
 
-    /// Applies an endpoint list or its changes. Long ones are applied in slices, over several iterations. What another
-    /// instance of discovery answered before its address changed is dropped.
+    /// Whether this is an endpoint list that another instance of discovery answered before the address changed. The first
+    /// shard decides that for all.
+    fn is_of_former_discovery(&self, inbound: &Inbound) -> bool {
+        let Inbound::EndpointsUpdated(update) = inbound else { return false };
+        self.shard_id() == ShardId(0) && update.source != *self.discovery.borrow()
+    }
+
+    /// Applies an endpoint list or its changes. Long ones are applied in slices, over several iterations.
     fn endpoints_updated(&mut self, update: EndpointUpdate, events: &mut Vec<Event>) {
         let EndpointUpdate { list, source } = update;
-        if source != *self.discovery.borrow() {
-            return;
-        }
         (self.list_version, self.list_is_current) = (list.index, true);
         if list.snapshot {
             self.list_source = Some(source);
