--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,137 +1,108 @@
-//! A planned restart ends connections on which further requests were read, with no answer to these.
+//! Upgrades, in each of which the old process is killed at a random moment: now and then the new process ends as well.
 
 use kit::*;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Requests that a client sends at once.
-const AT_ONCE: usize = 8;
-const CLIENTS: usize = 6;
-
-/// How a connection ended.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum End {
-    /// Orderly: the sender had read all that was written to it.
-    Orderly,
-    /// By a reset: something was not read.
-    Reset,
-}
-
-/// One connection: the requests written to it, and how many were answered, in order.
-struct Conversation {
-    written: Vec<Message>,
-    answers: Vec<u16>,
-    end: End,
-    ended_at: f64,
-}
-
-/// Sends requests on one connection, many at once, until the sender ends the connection or `until`.
-fn converse(log: &Log, address: SocketAddr, until: f64, class: &str) -> Option<Conversation> {
-    let mut stream = TcpStream::connect(address).ok()?;
-    let _ = stream.set_nodelay(true);
-    let _ = stream.set_read_timeout(Some(Duration::from_millis(400)));
-    let (mut written, mut answers, mut buffer) = (Vec::new(), Vec::new(), Vec::new());
-    while log.now() < until {
-        let messages: Vec<_> = (0..AT_ONCE).map(|_| Message::new(class, 7, 8000)).collect();
-        let bytes: Vec<u8> = messages.iter().flat_map(Message::request).collect();
-        if stream.write_all(&bytes).is_err() {
-            break;
-        }
-        for message in &messages {
-            let Message { id, class, dest, deadline_ms, .. } = message.clone();
-            log.add(Event::Sent { id, class, dest, deadline_ms });
-        }
-        written.extend(messages);
-        while answers.len() < written.len() {
-            match read_answer(&mut stream, &mut buffer) {
-                Ok(Some((status, _))) => {
-                    log.add(Event::Answered { id: written[answers.len()].id.clone(), status });
-                    answers.push(status);
-                }
-                Ok(None) => {
-                    let ended_at = log.now();
-                    // A reset that follows shows that the sender closed over bytes that it had not read.
-                    thread::sleep(Duration::from_millis(200));
-                    let reset =
-                        stream.take_error().ok().flatten().is_some() || stream.read(&mut [0]).is_err();
-                    let end = if reset { End::Reset } else { End::Orderly };
-                    return Some(Conversation { written, answers, end, ended_at });
-                }
-                Err(_) => {
-                    return Some(Conversation { written, answers, end: End::Reset, ended_at: log.now() })
-                }
-            }
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    None
-}
+/// The old process is killed so long after the new one was started, at most.
+const KILLED_WITHIN_MS: u64 = 25;
+/// Length of a message's body, a quarter of the most.
+const BODY: usize = 16 * 1024;
+/// Upgrades end by then.
+const UNTIL: f64 = 85.0;
+/// The new process must say yes within this time.
+const YES_WITHIN: Duration = Duration::from_secs(6);
 
 fn main() {
     let log = Log::new();
     let endpoints: Vec<_> =
-        (0..3).map(|n| Endpoint::start(&format!("pay-{n}"), &log, |_| Reply::ok(20))).collect();
+        (0..4).map(|n| Endpoint::start(&format!("pay-{n}"), &log, |_| Reply::ok(230))).collect();
     let list: Vec<_> = endpoints
         .iter()
         .enumerate()
-        .map(|(n, e)| Entry::new(&format!("pay-{n}"), e.address, "standard", 7))
+        .map(|(n, endpoint)| Entry::new(&format!("pay-{n}"), endpoint.address, "standard", n as u16))
         .collect();
     let platform = Platform::start("agent", &log, &list);
-    let mut sender = Sender::new(
-        "s1",
-        &log,
-        Settings { max_open: 400, calls_out: 30, ..Settings::default() },
-        &platform,
-        &list,
-    );
-    sender.start();
+    let settings = Settings { calls_out: 20, ..Settings::default() };
+    let mut sender = Sender::new("s1", &log, settings, &platform, &list);
+    sender.hold_socket();
+    sender.start_with_ops(Some(free_address()));
+    let clients = Clients::new(sender.listen, &log);
+    let traffic = {
+        let (log, clients) = (log.clone(), clients.clone());
+        thread::spawn(move || {
+            steady(&log, &clients, (0.5, UNTIL + 3.0), 17.0, |n| {
+                let class = if n % 10 < 7 { "donation-notice" } else { "payment-order" };
+                let mut message = Message::new(class, (n % 4) as u16, 24_000);
+                message.body.resize(BODY, b'.');
+                message
+            });
+        })
+    };
     let mut findings = Vec::new();
-    let (mut orderly, mut resets) = (0, 0);
-    for _ in 0..4 {
-        let until = log.now() + 2.0;
-        let address = sender.listen;
-        let ended: Arc<Mutex<Vec<Conversation>>> = Arc::default();
-        let clients: Vec<_> = (0..CLIENTS)
-            .map(|number| {
-                let (log, ended) = (log.clone(), ended.clone());
-                thread::spawn(move || {
-                    let class = if number % 2 == 0 { "payment-order" } else { "donation-notice" };
-                    if let Some(conversation) = converse(&log, address, until, class) {
-                        ended.lock().unwrap().push(conversation);
-                    }
-                })
-            })
-            .collect();
+    let mut random = 65u64;
+    let mut upgrades = 0;
+    thread::sleep(Duration::from_secs(1));
+    while log.now() < UNTIL {
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let delay = Duration::from_micros((random >> 33) % (KILLED_WITHIN_MS * 1000));
+        let ops = free_address();
+        let mut old = sender.spawn_successor(ops);
+        upgrades += 1;
         if trouble() {
-            log.sleep_until(until - 1.0);
-            sender.terminate_and_restart();
+            thread::sleep(delay);
+            let _ = old.kill();
+            log.note(format!("the old process is killed after {delay:?}"));
         }
-        clients.into_iter().for_each(|client| drop(client.join()));
-        for Conversation { written, answers, end, ended_at } in ended.lock().unwrap().drain(..) {
-            match end {
-                End::Orderly => orderly += 1,
-                End::Reset => resets += 1,
+        let started = Instant::now();
+        let mut ended = None;
+        while started.elapsed() < YES_WITHIN {
+            ended = sender.has_ended();
+            if ended.is_some() || matches!(ask(ops, "GET", "/status", Duration::from_secs(1)), Some((200, _)))
+            {
+                break;
             }
-            if end == End::Orderly && answers.len() < written.len() {
-                let ids: Vec<_> = written[answers.len()..].iter().map(|message| message.id.clone()).collect();
-                findings.push(format!(
-                    "a connection was ended at {ended_at:.3} with {} requests read and not answered: {ids:?}",
-                    ids.len()
-                ));
+            thread::sleep(Duration::from_millis(5));
+        }
+        if ended.is_none() && started.elapsed() < YES_WITHIN {
+            log.note("the new process says yes");
+            if !trouble() {
+                signal(old.id(), "TERM");
+                thread::sleep(Duration::from_millis(3700));
+                let _ = old.kill();
             }
         }
+        let _ = old.wait();
+        disown(old.id());
+        thread::sleep(Duration::from_millis(200));
+        if let Some(status) = ended.or_else(|| sender.has_ended()) {
+            let said = sender.stderr().lines().last().unwrap_or_default().to_owned();
+            findings.push(format!(
+                "upgrade {upgrades}: the old process was killed {delay:?} after the new one was started, and the new one \
+                 ended by itself ({status}): {said}"
+            ));
+            break;
+        }
+        if started.elapsed() >= YES_WITHIN {
+            findings.push(format!("upgrade {upgrades}: the new process does not say yes within 6 s"));
+            break;
+        }
     }
-    thread::sleep(Duration::from_secs(1));
-    let summary = format!(
-        "{orderly} connections with requests were ended in order, {resets} by a reset; {} of them with requests that \
-         were read and not answered",
-        findings.len()
-    );
-    if trouble() && orderly + resets == 0 {
-        could_not_run(&log, "no connection was ended");
+    // Nobody is left: what was taken on has no end, and its clients find nobody.
+    if !findings.is_empty() {
+        thread::sleep(Duration::from_secs(1));
+        let stories = stories(&log.events());
+        let open = stories.values().filter(|story| {
+            matches!(story.status, 200 | 202)
+                && story.notices.is_empty()
+                && !story.calls.iter().any(StoryCall::delivered)
+        });
+        let open = open.count();
+        judge(&log, &findings, &format!("{upgrades} upgrades; {open} messages that were taken on are left"));
+    }
+    drop(traffic);
+    if upgrades < if trouble() { 40 } else { 10 } {
+        could_not_run(&log, &format!("only {upgrades} upgrades"));
     }
-    judge(&log, &findings, &summary)
+    judge(&log, &findings, &format!("{upgrades} upgrades, the sender is there after each"))
 }
--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -608,9 +608,16 @@
     line.and_then(|line| line.split('"').nth(1)).unwrap_or("exec target/release/myrtleyard").to_owned()
 }
 
-/// A free loopback port.
+/// A free loopback port, outside the range from which the system takes ports for outgoing connections.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let first = u64::from(std::process::id()).wrapping_mul(97);
+    loop {
+        let port = 20_000 + (first + NEXT.fetch_add(1, Ordering::SeqCst)) % 10_000;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 /// The settings that a case changes.
@@ -821,13 +828,19 @@
         finish(COULD_NOT_RUN);
     }
 
-    /// Starts a second process beside the running one, and returns the first once the second says yes at its address for
-    /// operators.
-    pub fn start_successor(&mut self, ops: SocketAddr) -> Child {
+    /// Starts a second process beside the running one, without waiting for it. Returns the first.
+    pub fn spawn_successor(&mut self, ops: SocketAddr) -> Child {
         self.configure();
         let new = self.spawn(Some(ops));
         let old = self.child.replace(new).unwrap();
         self.log.note(format!("{}: a second process starts", self.name));
+        old
+    }
+
+    /// Starts a second process beside the running one, and returns the first once the second says yes at its
+    /// address for operators.
+    pub fn start_successor(&mut self, ops: SocketAddr) -> Child {
+        let old = self.spawn_successor(ops);
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
             if matches!(ask(ops, "GET", "/status", Duration::from_secs(1)), Some((200, _))) {
@@ -906,7 +919,7 @@
 
 /// Sends a signal to a process that this case started.
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {pid}")).status();
+    let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {pid} 2>/dev/null")).status();
 }
 
 /// The processes that this case started and that may still run.
