A copy of an answer that is on its way ends no message on its connection

Cause: a connection was reused as soon as its answer was read. The copy of that answer came after the last byte of the next call, was held back for twice the longest answer time known, and was then read as the answer to that call. The same where the connection ended while the copy was held; where no time of the endpoint was known (a probe had opened the connection); and where the times were those of an earlier address.

Change: a connection rests for 0.2 s after its answer before it is reused, and a copy that arrives meanwhile closes it; it is reused only if a time of the endpoint at its address is known. A held answer that nothing follows proves nothing if it came in under a quarter of the endpoint's shortest time: the call may have run. Non-repeatable messages then wait for their own answer until the call's deadline. Why it works: what follows an answer arrives within the rest, and what comes later can't be faster than a call without its handshake.

Tests changed: those that assert that a connection is reused wait for the rest; nothing that they assert is relaxed.

--- a/crates/sender/src/event_loop/calls.rs
+++ b/crates/sender/src/event_loop/calls.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use admin::metrics::FinalOutcome;
-use decision::interface::{Action, EndpointId, Event, MessageId, Micros, Outcome};
+use decision::interface::{Action, EndpointId, Event, Idempotency, MessageId, Micros, Outcome};
 use journal::{AcceptedMessage, Record};
 
 use super::{EventLoop, PendingSubmission, RETRY_AFTER_JOURNAL_FULL};
@@ -106,7 +106,8 @@
     /// module does not abandon the message before they have passed.
     fn call_message(&self, now: Micros, planned: &PlannedAttempt) -> Option<CallMessage> {
         let pending = self.journal.live().get(&planned.message.0)?;
-        let AcceptedMessage { id, key, body, .. } = (*pending.message).clone();
+        let AcceptedMessage { id, key, body, class, .. } = (*pending.message).clone();
+        let idempotency = self.class_idempotency.get(&*class);
         let send_within = planned.send_within.min(planned.timeout);
         Some(CallMessage {
             message: planned.message,
@@ -114,6 +115,7 @@
             id,
             key,
             body,
+            repeatable: idempotency.is_some_and(|idempotency| *idempotency != Idempotency::NonIdempotent),
             answer_deadline: self.clock.instant(now.saturating_add(planned.timeout)),
             send_deadline: self.clock.instant(now.saturating_add(send_within)),
         })
--- a/crates/sender/src/http/client.rs
+++ b/crates/sender/src/http/client.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::connection::{BODY_TIMEOUT, Connection, ExchangeError, SendOptions, SendPermit, Traffic};
-use super::connection_reuse::{AnswerTimes, allows_reuse};
+use super::connection_reuse::{AnswerTimes, CopyCriteria, REST, allows_reuse};
 use crate::http::active_waits::ActiveWaits;
 use crate::ports::{AttemptCompleted, CallMessage, Inbound, Transport, WriteOptions};
 
@@ -114,6 +114,18 @@
         }
     }
 
+    /// The outcome of a call that has no answer at its deadline.
+    fn outcome_at_deadline(&self) -> Outcome {
+        let traffic = self.traffic.borrow();
+        if !self.may_run.get() {
+            Outcome::ConnectFailed
+        } else if traffic.as_ref().is_some_and(|traffic| traffic.response_is_unconfirmed()) {
+            Outcome::InvalidResponse
+        } else {
+            Outcome::TimedOut
+        }
+    }
+
     /// Whether a status line with status 200 was received.
     fn status_is_ok(&self) -> bool {
         self.traffic.borrow().as_ref().is_some_and(|p| p.status_line.borrow().status == Some(Some(200)))
@@ -187,6 +199,7 @@
         let Ok(address) = address.parse() else { return false };
         let before = self.0.addresses.borrow_mut().insert(endpoint, address);
         if before.is_some_and(|before| before != address) {
+            self.0.answer_times.borrow_mut().remove(&endpoint);
             self.close_idle(endpoint);
         }
         true
@@ -282,9 +295,7 @@
                         None
                     }
                     Err(_) => {
-                        let ran = progress.may_run.get();
-                        let outcome = if ran { Outcome::TimedOut } else { Outcome::ConnectFailed };
-                        complete(outcome);
+                        complete(progress.outcome_at_deadline());
                         None
                     }
                 },
@@ -323,7 +334,7 @@
                 let request = request.body(Bytes::new()).map_err(|_| Outcome::ConnectFailed)?;
                 let request = || Some((request.clone(), deadline));
                 let (mut conn, answer, new) = shared
-                    .exchange((None, target), &request, deadline, WriteOptions::default(), &progress)
+                    .exchange((None, target), &request, deadline, (WriteOptions::default(), true), &progress)
                     .await?;
                 let (head, body) = answer.into_parts();
                 let body = conn.0.body(body).await.map_err(|()| Outcome::InvalidResponse)?;
@@ -339,8 +350,7 @@
             let (outcome, report) = match timeout(within, exchange_report).await {
                 Ok(Ok(result)) => result,
                 Ok(Err(outcome)) => (outcome, vec![]),
-                Err(_) if progress.may_run.get() => (Outcome::TimedOut, vec![]),
-                Err(_) => (Outcome::ConnectFailed, vec![]),
+                Err(_) => (progress.outcome_at_deadline(), vec![]),
             };
             let _ = shared.inbound.send(Inbound::Event(Event::HealthChecked { endpoint, outcome, report }));
         });
@@ -390,11 +400,20 @@
         idle.since.elapsed().as_micros() < u128::from(self.limits.idle_timeout / 5 * 4)
     }
 
-    fn take_idle(&self, target: EndpointAddress) -> Option<Connection> {
+    /// Takes the connection that became idle last among those that have rested.
+    fn take_rested(&self, target: EndpointAddress) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let conns = idle.get_mut(&target)?;
         conns.retain(|idle| self.is_reusable(idle));
-        Some(conns.pop()?.conn)
+        let rested = conns.iter().rposition(|idle| idle.since.elapsed() >= REST)?;
+        Some(conns.remove(rested).conn)
+    }
+
+    /// Closes the connection of this endpoint that became idle last.
+    fn close_one_idle(&self, target: EndpointAddress) {
+        if let Some(conns) = self.idle.borrow_mut().get_mut(&target) {
+            conns.pop();
+        }
     }
 
     /// Closes the connections that have been idle the longest until the limit is kept. Returns false if the connections
@@ -419,7 +438,7 @@
         may_reuse: bool,
     ) -> Result<(InUseConnection, bool), Outcome> {
         let in_use = InUse::new(self);
-        while let Some(mut conn) = may_reuse.then(|| self.take_idle(target)).flatten() {
+        while let Some(mut conn) = may_reuse.then(|| self.take_rested(target)).flatten() {
             if conn.usable().await {
                 return Ok((InUseConnection(conn, in_use), true));
             }
@@ -468,22 +487,24 @@
 
     /// Sends a request and returns the head of the response, and whether the connection was new. `request` builds the request
     /// and returns the time from which nothing of it may be sent any more. A probe has no route: Retry-After doesn't apply
-    /// to it.
+    /// to it. `repeatable` is whether another request may be sent if the outcome of this one is not known.
     async fn exchange(
         self: &Rc<Self>,
         (route, target): (Option<RouteId>, EndpointAddress),
         request: impl Fn() -> Option<(Request<Bytes>, Instant)>,
         deadline: Instant,
-        options: WriteOptions,
+        (options, repeatable): (WriteOptions, bool),
         progress: &Progress,
     ) -> Result<(InUseConnection, Response<Incoming>, bool), Outcome> {
         let last_byte_delay = Duration::from_micros(options.last_byte_delay);
         let mut may_reuse = !options.new_connection;
         if options.new_connection {
             // Closes an idle connection: the endpoint's connection table has no room for both the idle and the new one.
-            self.take_idle(target);
+            self.close_one_idle(target);
         }
         loop {
+            let copy_criteria = self.copy_criteria(target, deadline, repeatable);
+            may_reuse &= copy_criteria.is_some();
             let (mut conn, reused) = self.connect(target, deadline, may_reuse).await?;
             // Built only now, since messages of the call may have passed their deadline while it connected.
             let request = match self.may_send(route, target).await {
@@ -500,12 +521,8 @@
             let shared = self.clone();
             let permit: SendPermit =
                 Box::pin(async move { shared.may_send(route, target).await && Instant::now() < send_before });
-            let options = SendOptions {
-                last_byte_delay,
-                reused,
-                answer_times: self.answer_times(target, deadline),
-                head_timeout: Some(BODY_TIMEOUT),
-            };
+            let options =
+                SendOptions { last_byte_delay, reused, copy_criteria, head_timeout: Some(BODY_TIMEOUT) };
             let answer = conn.0.send_delayed(request, options, &progress.may_run, permit).await;
             // The head of the request, at least one byte, precedes the body.
             let written = conn.0.traffic.written.get() - before;
@@ -522,7 +539,9 @@
                     progress.may_run.set(false);
                 }
                 Err(_) if never_sent => return Err(Outcome::ConnectFailed),
-                Err(ExchangeError::InvalidResponse) => return Err(Outcome::InvalidResponse),
+                Err(ExchangeError::InvalidResponse | ExchangeError::Unconfirmed) => {
+                    return Err(Outcome::InvalidResponse);
+                }
                 Err(ExchangeError::Broken) => return Err(Outcome::Reset),
             }
         }
@@ -536,6 +555,7 @@
         options: WriteOptions,
         progress: &Progress,
     ) -> Result<CallAnswer, Outcome> {
+        let repeatable = parts.iter().all(|part| part.repeatable);
         let request = || {
             // Leaves out messages whose send deadline has passed, for example while the connection opened; other
             // messages of the batch may have more time. By then the decision module has given the message its one final
@@ -550,7 +570,7 @@
             request
         };
         let (mut conn, answer, new) =
-            self.exchange((Some(route), target), request, deadline, options, progress).await?;
+            self.exchange((Some(route), target), request, deadline, (options, repeatable), progress).await?;
         let sent = progress.sent.borrow().clone();
         let (total, parts) = (parts.len(), selected(parts, &sent));
         // Messages that were left out of the request never ran.
@@ -651,25 +671,33 @@
             return;
         }
         if !conn.0.answer_may_be_copy() {
-            self.record_answer_time(target.endpoint, conn.0.answer_time);
+            self.record_answer_time(target, conn.0.answer_time);
             self.return_connection(target, conn).await;
         }
     }
 
-    /// Records in what time an endpoint has answered a call.
-    fn record_answer_time(&self, endpoint: EndpointId, time: Duration) {
+    /// Records in what time an endpoint has answered a call, unless it has moved or left since then.
+    fn record_answer_time(&self, target: EndpointAddress, time: Duration) {
+        if self.dial_target(target.endpoint) != Some(target) {
+            return;
+        }
         let mut answer_times = self.answer_times.borrow_mut();
         answer_times
-            .entry(endpoint)
+            .entry(target.endpoint)
             .and_modify(|times| times.add(time))
             .or_insert_with(|| AnswerTimes::new(time));
     }
 
-    /// In what time an endpoint answers, if that is known. A response is not held back for longer than half of the time until
-    /// the deadline.
-    fn answer_times(&self, target: EndpointAddress, deadline: Instant) -> Option<AnswerTimes> {
+    /// The criteria by which an endpoint's answer to a call may be a copy; `None` if it is not known in what time it answers.
+    fn copy_criteria(
+        &self,
+        target: EndpointAddress,
+        deadline: Instant,
+        repeatable: bool,
+    ) -> Option<CopyCriteria> {
         let times = self.answer_times.borrow().get(&target.endpoint).copied()?;
-        Some(times.at_most(deadline.saturating_duration_since(Instant::now()) / 2))
+        let until_deadline = deadline.saturating_duration_since(Instant::now());
+        Some(CopyCriteria::new(times, until_deadline, repeatable))
     }
 
     async fn return_connection(self: &Rc<Self>, target: EndpointAddress, conn: InUseConnection) {
--- a/crates/sender/src/http/connection.rs
+++ b/crates/sender/src/http/connection.rs
@@ -23,7 +23,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
 
-use super::connection_reuse::{AnswerBytes, AnswerHistory, AnswerTimes, CopyFilter};
+use super::connection_reuse::{AnswerBytes, AnswerHistory, CopyCriteria, CopyFilter};
 use super::response_filter::ResponseFilter;
 use crate::ports::MAX_BODY_BYTES;
 
@@ -117,6 +117,11 @@
         self.last_byte_at.get().map_or(Duration::ZERO, |last_byte_at| last_byte_at.elapsed())
     }
 
+    /// Whether the only response that arrived may be a second copy of an earlier one.
+    pub(super) fn response_is_unconfirmed(&self) -> bool {
+        self.filter.borrow().as_ref().is_some_and(ResponseFilter::is_unconfirmed)
+    }
+
     /// Records received bytes.
     fn received(&self, bytes: &[u8]) {
         if !bytes.is_empty()
@@ -287,9 +292,9 @@
     pub(super) last_byte_delay: Duration,
     /// The connection has carried a request before.
     pub(super) reused: bool,
-    /// In what time the endpoint answers, if that is known. On a reused connection an earlier response that equals the one
-    /// before it is held back, since it may be a copy.
-    pub(super) answer_times: Option<AnswerTimes>,
+    /// Which response on a reused connection is held back, since it may be a copy of the one before it. Without them all
+    /// are read.
+    pub(super) copy_criteria: Option<CopyCriteria>,
     /// Time from the first byte of the response to the end of its head, or none if the caller limits it.
     pub(super) head_timeout: Option<Duration>,
 }
@@ -300,6 +305,8 @@
     Broken,
     /// The bytes that were received are not a valid response.
     InvalidResponse,
+    /// The response may be a second copy of an earlier one, and no other followed in time.
+    Unconfirmed,
     /// Its last byte was withheld: after the delay it was not permitted to be sent.
     NotSent,
 }
@@ -385,8 +392,8 @@
         may_run: &Rc<Cell<bool>>,
         permit: SendPermit,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        let SendOptions { last_byte_delay, reused, answer_times, head_timeout } = options;
-        let filter = answer_times.filter(|_| reused).and_then(|times| self.answers.filter(times));
+        let SendOptions { last_byte_delay, reused, copy_criteria, head_timeout } = options;
+        let filter = copy_criteria.filter(|_| reused).and_then(|criteria| self.answers.filter(criteria));
         self.traffic.expect_response(filter);
         let traffic = self.traffic.clone();
         may_run.set(request.body().is_empty());
@@ -428,6 +435,7 @@
         match answer {
             Some(Ok(answer)) => Ok(answer),
             Some(Err(_)) if withheld.get() => Err(ExchangeError::NotSent),
+            Some(Err(_)) if traffic.response_is_unconfirmed() => Err(ExchangeError::Unconfirmed),
             Some(Err(_)) if started() => Err(ExchangeError::InvalidResponse),
             Some(Err(_)) => Err(ExchangeError::Broken),
             None => Err(ExchangeError::InvalidResponse),
--- a/crates/sender/src/http/connection_reuse.rs
+++ b/crates/sender/src/http/connection_reuse.rs
@@ -3,12 +3,16 @@
 //! An endpoint may write an answer a second time. A copy that arrives before the last byte of the next call is noticed, and
 //! the call moves to another connection. A copy that arrives later looks like the answer to that call, whose own answer is
 //! then taken for that of the call after it: a message that was processed would be taken for rejected and sent again, one that
-//! was rejected for delivered, and a Retry-After would not be read. Three rules prevent this:
+//! was rejected for delivered, and a Retry-After would not be read. Four rules prevent this:
 //!
+//! - A connection is reused after a rest of [`REST`], in which nothing arrived, and only if it is known in what time the endpoint
+//!   answers. A copy that follows its answer arrives during the rest, and the connection is closed.
 //! - After an answer that proves for any message that it did not run, the connection is closed ([`allows_reuse`]). No copy on
 //!   a connection that is reused can therefore prove that.
 //! - An answer that equals the one before it, and comes earlier than this endpoint ever answered, is held until more
-//!   arrives, which is then the call's own answer ([`CopyFilter`]).
+//!   arrives, which is then the call's own answer ([`CopyFilter`]). If nothing arrives, an answer that the endpoint may have
+//!   given over a connection that was open already is read. One that came still earlier proves nothing: the message may have
+//!   run, and is not delivered ([`CopyFilter::is_unconfirmed`]).
 //! - After any other answer that equals the one before it the connection is closed: the call's own answer may still arrive
 //!   ([`AnswerHistory`]).
 //!
@@ -23,6 +27,15 @@
 const MAX_COMPARED_BYTES: usize = 16 * 1024;
 /// A possible copy is held for this many times the longest time in which the endpoint answered.
 const HOLD_FACTOR: u32 = 2;
+/// A possible copy is held for this part of the time until the deadline at most, so that another attempt has time.
+const HOLD_DIVISOR: u32 = 2;
+/// Time from the end of an answer until its connection is reused.
+pub(super) const REST: Duration = Duration::from_millis(200);
+/// A call over a new connection takes at most this many times as long as over one that is open: three round trips of a
+/// handshake, and one for the call.
+const HANDSHAKE_FACTOR: u32 = 4;
+/// Times below this one differ by what else the machines do, and are not compared by [`HANDSHAKE_FACTOR`].
+const MIN_COMPARED_TIME: Duration = Duration::from_millis(20);
 
 /// The bytes of an answer, without interim (1xx) responses ahead of it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -56,9 +69,9 @@
     }
 
     /// Returns the filter for the answer to the next call; `None` if no answer has arrived yet.
-    pub(super) fn filter(&self, times: AnswerTimes) -> Option<CopyFilter> {
+    pub(super) fn filter(&self, criteria: CopyCriteria) -> Option<CopyFilter> {
         let copy = self.latest.as_ref()?.bytes.clone();
-        Some(CopyFilter { copy, matched: 0, times })
+        Some(CopyFilter { copy, matched: 0, impossibly_early: false, criteria })
     }
 }
 
@@ -67,18 +80,12 @@
 pub(super) struct AnswerTimes {
     shortest: Duration,
     longest: Duration,
-    max_hold: Duration,
 }
 
 impl AnswerTimes {
     /// The times as known from one answer.
     pub(super) fn new(time: Duration) -> Self {
-        Self { shortest: time, longest: time, max_hold: Duration::MAX }
-    }
-
-    /// The same times, but a possible copy is not held for longer than this.
-    pub(super) fn at_most(self, max_hold: Duration) -> Self {
-        Self { max_hold, ..self }
+        Self { shortest: time, longest: time }
     }
 
     /// Adds the time of another answer.
@@ -86,16 +93,37 @@
         self.shortest = self.shortest.min(time);
         self.longest = self.longest.max(time);
     }
+}
 
+/// When an answer that equals the one before it may be a copy, and for how long it is then held.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CopyCriteria {
+    /// The shortest time in which the endpoint answered.
+    shortest: Duration,
     /// How long a possible copy is held.
-    pub(super) fn hold(&self) -> Duration {
-        self.longest.saturating_mul(HOLD_FACTOR).min(self.max_hold)
+    hold: Duration,
+    /// How long it is held if the endpoint can't have answered so early.
+    copy_hold: Duration,
+}
+
+impl CopyCriteria {
+    /// The criteria for a call with so much time until its deadline. A message that must not be sent again has no other chance
+    /// than the answer to this call, so that it waits for that until the deadline.
+    pub(super) fn new(times: AnswerTimes, until_deadline: Duration, repeatable: bool) -> Self {
+        let hold = times.longest.saturating_mul(HOLD_FACTOR).min(until_deadline / HOLD_DIVISOR);
+        let copy_hold = if repeatable { hold } else { until_deadline };
+        Self { shortest: times.shortest, hold, copy_hold }
     }
 
-    /// Whether an answer after this time comes earlier than the endpoint answers.
+    /// Whether an answer after this time comes earlier than the endpoint is known to answer.
     fn is_early(&self, time: Duration) -> bool {
         time < self.shortest
     }
+
+    /// Whether an answer after this time comes earlier than the endpoint can answer, also over a connection that is open.
+    fn is_impossibly_early(&self, time: Duration) -> bool {
+        self.shortest >= MIN_COMPARED_TIME && time < self.shortest / HANDSHAKE_FACTOR
+    }
 }
 
 /// What to do with the bytes that have arrived.
@@ -103,7 +131,7 @@
 pub(super) enum Filtered {
     /// They may be part of a copy: nothing is read yet.
     Incomplete,
-    /// They are a whole answer that may be a copy. It is held until more arrives, for [`AnswerTimes::hold`] at most.
+    /// They are a whole answer that may be a copy. It is held until more arrives, for [`CopyFilter::hold`] at most.
     Held,
     /// These bytes are read, and all that follows.
     Read(Vec<u8>),
@@ -116,7 +144,9 @@
     copy: Vec<u8>,
     /// How many of its bytes have arrived again.
     matched: usize,
-    times: AnswerTimes,
+    /// A whole answer is held, and the endpoint can't have answered so early.
+    impossibly_early: bool,
+    criteria: CopyCriteria,
 }
 
 impl CopyFilter {
@@ -132,23 +162,29 @@
             return Filtered::Incomplete;
         }
         let following = &bytes[compared..];
-        if !self.times.is_early(after) && !expected.is_empty() {
+        if !self.criteria.is_early(after) && !expected.is_empty() {
             Filtered::Read([self.held(), following].concat())
         } else if following.is_empty() {
+            self.impossibly_early = self.criteria.is_impossibly_early(after);
             Filtered::Held
         } else {
             Filtered::Read(following.to_vec())
         }
     }
 
-    /// The bytes that were held back: they are read if nothing follows them.
+    /// The bytes that were held back: they are read if nothing follows them, unless they are unconfirmed.
     pub(super) fn held(&self) -> &[u8] {
         &self.copy[..self.matched]
     }
 
+    /// Whether what is held proves nothing if nothing follows it: it came too early to be the call's own answer.
+    pub(super) fn is_unconfirmed(&self) -> bool {
+        self.impossibly_early
+    }
+
     /// How long a whole answer is held.
     pub(super) fn hold(&self) -> Duration {
-        self.times.hold()
+        if self.impossibly_early { self.criteria.copy_hold } else { self.criteria.hold }
     }
 }
 
--- a/crates/sender/src/http/connection_reuse/tests.rs
+++ b/crates/sender/src/http/connection_reuse/tests.rs
@@ -16,10 +16,11 @@
 fn filter() -> CopyFilter {
     let mut times = AnswerTimes::new(Duration::from_millis(100));
     times.add(Duration::from_millis(200));
+    let criteria = CopyCriteria::new(times, Duration::from_millis(1000), true);
     let mut history = AnswerHistory::default();
-    assert!(history.filter(times).is_none(), "a first answer is no copy");
+    assert!(history.filter(criteria).is_none(), "a first answer is no copy");
     history.add(answer(&[COPY]));
-    history.filter(times).unwrap()
+    history.filter(criteria).unwrap()
 }
 
 #[test]
@@ -73,6 +74,29 @@
     assert_eq!(filter.arrived(&COPY[20..], NOT_EARLY), Filtered::Read(COPY.to_vec()));
 }
 
+/// A held answer that comes too early for the endpoint proves nothing, and a message that must not be sent again waits for its
+/// own answer until the deadline.
+#[test]
+fn answer_that_is_too_early_for_the_endpoint_is_unconfirmed() {
+    let ms = Duration::from_millis;
+    let held = |shortest, after, repeatable| {
+        let mut times = AnswerTimes::new(ms(200));
+        times.add(ms(shortest));
+        let mut history = AnswerHistory::default();
+        history.add(answer(&[COPY]));
+        let mut filter = history.filter(CopyCriteria::new(times, ms(1000), repeatable)).unwrap();
+        assert_eq!(filter.arrived(COPY, after), Filtered::Held);
+        (filter.is_unconfirmed(), filter.hold())
+    };
+    assert_eq!(held(100, ms(24), true), (true, ms(400)));
+    assert_eq!(held(100, ms(24), false), (true, ms(1000)));
+    // A call over a connection that is open may be faster by the handshake.
+    for repeatable in [true, false] {
+        assert_eq!(held(100, ms(25), repeatable), (false, ms(400)));
+        assert_eq!(held(19, ms(0), repeatable), (false, ms(400)), "too short to be compared");
+    }
+}
+
 /// After a rejection a connection is closed, since a copy of it would be taken for the rejection of the next call.
 #[test]
 fn only_answers_that_prove_no_rejection_allow_reuse() {
--- a/crates/sender/src/http/response_filter.rs
+++ b/crates/sender/src/http/response_filter.rs
@@ -29,11 +29,19 @@
     unread: Vec<u8>,
     /// It is known what is to be read: the rest of the response is not filtered.
     decided: bool,
+    /// The time of a copy is over, and nothing has followed it: nothing is read any more.
+    unconfirmed: bool,
 }
 
 impl ResponseFilter {
     pub(super) fn new(filter: CopyFilter) -> Self {
-        Self { filter, hold: None, unread: Vec::new(), decided: false }
+        Self { filter, hold: None, unread: Vec::new(), decided: false, unconfirmed: false }
+    }
+
+    /// Whether what arrived came too early to be the response, and nothing has followed it: it is not known whether the
+    /// request was answered.
+    pub(super) fn is_unconfirmed(&self) -> bool {
+        !self.decided && self.filter.is_unconfirmed()
     }
 
     /// Whether the rest of the response can be read from the stream itself.
@@ -57,7 +65,8 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Reads from the stream until it is known what is to be read, or the stream has ended.
+    /// Reads from the stream until it is known what is to be read, or the stream has ended. Fails if that can't be known
+    /// any more.
     fn poll_unread(
         &mut self,
         stream: &mut TcpStream,
@@ -65,6 +74,9 @@
         cx: &mut Context,
     ) -> Poll<io::Result<()>> {
         while !self.decided {
+            if self.unconfirmed {
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
             let mut bytes = [0; READ_SIZE];
             let mut received = ReadBuf::new(&mut bytes);
             let read = Pin::new(&mut *stream).poll_read(cx, &mut received);
@@ -74,12 +86,12 @@
                 Poll::Pending => {
                     let Some(hold) = &mut self.hold else { return Poll::Pending };
                     ready!(hold.as_mut().poll(cx));
-                    self.read(self.filter.held().to_vec());
+                    self.nothing_follows();
                 }
                 Poll::Ready(result) if result.is_err() || received.filled().is_empty() => {
                     // What was held back is read before the end of the stream, which a later read returns again.
-                    self.read(self.filter.held().to_vec());
-                    if self.unread.is_empty() {
+                    self.nothing_follows();
+                    if self.decided && self.unread.is_empty() {
                         return Poll::Ready(result);
                     }
                 }
@@ -93,6 +105,15 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Nothing follows what was held back.
+    fn nothing_follows(&mut self) {
+        if self.filter.is_unconfirmed() {
+            self.unconfirmed = true;
+        } else {
+            self.read(self.filter.held().to_vec());
+        }
+    }
+
     /// These bytes are read, and then all that follows.
     fn read(&mut self, bytes: Vec<u8>) {
         self.unread = bytes;
--- a/crates/sender/src/ports.rs
+++ b/crates/sender/src/ports.rs
@@ -158,6 +158,8 @@
     pub key: Option<String>,
     /// The message's body.
     pub body: Bytes,
+    /// The message may be sent again after an attempt that may have run.
+    pub repeatable: bool,
     /// Deadline of the answer.
     pub answer_deadline: tokio::time::Instant,
     /// The message is not sent after this time, which is no later than the deadline of the answer. Each message of a batch has
--- a/crates/sender/tests/node/connection_rejected.rs
+++ b/crates/sender/tests/node/connection_rejected.rs
@@ -1,6 +1,6 @@
 //! Endpoints that accept few connections, and reject a further one in their answer to its first call.
 
-use super::program;
+use super::{CONNECTION_REST, program};
 use serde_json::json;
 use test_doubles::*;
 
@@ -50,6 +50,7 @@
         let node = Node::start(&program(), &platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
         let ids = if reused { vec!["a", "b", "c"] } else { vec!["c"] };
         for id in &ids {
+            std::thread::sleep(CONNECTION_REST);
             assert_eq!(node.submit(id, "note", 7, 20_000).status(), 202);
             let call = endpoint.next();
             let before = node.journal_length();
--- a/crates/sender/tests/node/hand_over.rs
+++ b/crates/sender/tests/node/hand_over.rs
@@ -18,7 +18,7 @@
 const READY: &[u8] = b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n";
 
 /// Starts a sender on a listening socket that the platform holds open.
-fn start(platform: &Platform, endpoints: &[serde_json::Value]) -> Node {
+pub(super) fn start(platform: &Platform, endpoints: &[serde_json::Value]) -> Node {
     let socket = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = socket.local_addr().unwrap().to_string();
     // Predecessor and successor both use this address, one after the other.
--- a/crates/sender/tests/node/lost_connections.rs
+++ b/crates/sender/tests/node/lost_connections.rs
@@ -4,7 +4,7 @@
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
-use super::program;
+use super::{CONNECTION_REST, program};
 use serde_json::json;
 use test_doubles::*;
 
@@ -33,6 +33,7 @@
     deliver(&node, &endpoint, "a", "order", status(200));
     let (reset_sender, reset) = channel();
     let broken_connection = deliver(&node, &endpoint, "b", "order", Reply::ResetOnNextBytes(reset_sender));
+    std::thread::sleep(CONNECTION_REST);
     submit(&node, "c", "order");
     let call = endpoint.next();
     assert_eq!(call.http.headers["req-id"], "c");
@@ -50,6 +51,7 @@
     let node = Node::start(&program(), &platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
     deliver(&node, &endpoint, "a", "note", status(200));
     let kept = deliver(&node, &endpoint, "b", "note", status(200));
+    std::thread::sleep(CONNECTION_REST);
     submit(&node, "c", "note");
     let call = endpoint.next();
     assert_eq!(call.connection, kept);
@@ -60,8 +62,10 @@
     let before = node.journal_length();
     resent.reply(status(200));
     wait_until(|| node.journal_length() > before);
+    std::thread::sleep(CONNECTION_REST);
     let new_connection = deliver(&node, &endpoint, "d", "order", status(200));
     assert_ne!(new_connection, kept);
+    std::thread::sleep(CONNECTION_REST);
     let next_connection = deliver(&node, &endpoint, "e", "note", status(200));
     assert_eq!(
         next_connection, new_connection,
--- a/crates/sender/tests/node/main.rs
+++ b/crates/sender/tests/node/main.rs
@@ -25,6 +25,9 @@
 use serde_json::json;
 use test_doubles::*;
 
+/// Time after an answer in which its connection is not reused, and a little more.
+const CONNECTION_REST: std::time::Duration = std::time::Duration::from_millis(250);
+
 fn program() -> Program {
     Program::new(env!("CARGO_BIN_EXE_myrtleyard"))
 }
@@ -43,6 +46,7 @@
     assert_eq!(ready.status(), 200);
     let mut connections = vec![];
     for id in ["a", "b", "c"] {
+        std::thread::sleep(CONNECTION_REST);
         assert_eq!(node.submit(id, "note", 7, 20_000).status(), 202);
         let call = endpoint.next();
         assert_eq!(call.http.first, "POST /v1/messages HTTP/1.1");
--- a/crates/sender/tests/node/second_copies.rs
+++ b/crates/sender/tests/node/second_copies.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use test_doubles::*;
 
-use super::program;
+use super::{CONNECTION_REST, hand_over, program};
 
 /// How long an endpoint processes a call in the tests of single copies.
 const SERVICE_TIME: Duration = Duration::from_millis(60);
@@ -94,6 +94,7 @@
         wait_until(|| partner.calls().len() > sent);
         if sent < 2 {
             wait_until(|| node.metric("svc_open_requests") == 0);
+            thread::sleep(CONNECTION_REST);
         }
         // The copy is read.
         thread::sleep(SERVICE_TIME / 3);
@@ -102,6 +103,71 @@
     ["c", "d"].into_iter().for_each(|id| assert_ran_once(&partner.calls(), id));
 }
 
+/// Guards against `review/6`: a copy that came on the way of the next call was taken for its answer, and the message was lost,
+/// since the connection was closed before that call was answered. A copy that comes while its connection rests closes it; one
+/// that comes later, with the next call, is no answer where the endpoint never answered nearly as early.
+#[test]
+fn copy_that_nothing_follows_in_time_loses_no_message() {
+    const LONG_SERVICE_TIME: Duration = Duration::from_millis(240);
+    let (in_rest, with_call) =
+        (CopyInstant::AfterAnswer(Duration::from_millis(10)), CopyInstant::AfterLastByte(Duration::ZERO));
+    for (class, copy, pause) in [
+        ("note", in_rest, Duration::ZERO),
+        ("order", in_rest, Duration::ZERO),
+        ("note", with_call, CONNECTION_REST),
+        ("order", with_call, CONNECTION_REST),
+    ] {
+        let partner = scripted([
+            PlannedAnswer::new(200, LONG_SERVICE_TIME),
+            PlannedAnswer::new(200, LONG_SERVICE_TIME).copied(copy),
+            // A copy is read long before this answer.
+            PlannedAnswer::new(200, 4 * LONG_SERVICE_TIME),
+        ]);
+        let platform = Platform::new();
+        let node = start(&platform, &[listing("e1", 7, "plain", partner.address)]);
+        let ids = ["a", "b", "c"];
+        for id in ids {
+            assert_eq!(node.submit(id, class, 7, 20_000).status(), 202);
+            wait_until(|| node.metric("svc_open_requests") == 0);
+            thread::sleep(pause);
+        }
+        let calls = partner.calls();
+        for id in ids {
+            let delivers = |call: &&RecordedCall| {
+                call.answered.is_some() && call.messages[0] == (id.to_owned(), Effect::Ran)
+            };
+            assert!(calls.iter().any(|call| delivers(&call)), "{class} {id}, {copy:?}: {calls:#?}");
+        }
+        assert!(platform.notifications.try_recv().is_err(), "no message failed");
+    }
+}
+
+/// Guards against the same where the process hands over while the copy is held: the call goes on in the predecessor.
+#[test]
+fn copy_that_is_held_during_a_hand_over_loses_no_message() {
+    const LONG_SERVICE_TIME: Duration = Duration::from_millis(240);
+    let copy = CopyInstant::AfterLastByte(Duration::from_millis(10));
+    let partner = scripted([
+        PlannedAnswer::new(200, LONG_SERVICE_TIME),
+        PlannedAnswer::new(200, LONG_SERVICE_TIME).copied(copy),
+        PlannedAnswer::new(200, 5 * LONG_SERVICE_TIME),
+    ]);
+    let platform = Platform::new();
+    let node = hand_over::start(&platform, &[listing("e1", 7, "plain", partner.address)]);
+    for id in ["a", "b", "c"] {
+        assert_eq!(node.submit(id, "order", 7, 20_000).status(), 202);
+        wait_until(|| id == "c" || node.metric("svc_open_requests") == 0);
+        thread::sleep(CONNECTION_REST);
+    }
+    assert_eq!(partner.copies(), 1);
+    let successor = node.start_successor();
+    wait_until(|| successor.metric("svc_open_requests") == 0);
+    let calls = partner.calls();
+    assert!(calls.last().unwrap().answered.is_some(), "c was not delivered: {calls:#?}");
+    assert_eq!(calls.len(), 3, "{calls:#?}");
+    assert!(platform.notifications.try_recv().is_err(), "no message failed");
+}
+
 /// Guards against a response that breaks off and is held back as part of a copy: its status line says 200, so that the message is
 /// delivered.
 #[test]
@@ -111,6 +177,7 @@
     for (id, connection, reply) in
         [("a", 0, status(200)), ("b", 1, status(200)), ("c", 1, Reply::Bytes(b"HTTP/1.1 200 X\r\ncontent-"))]
     {
+        thread::sleep(CONNECTION_REST);
         assert_eq!(node.submit(id, "order", 7, 20_000).status(), 202);
         let call = endpoint.next();
         assert_eq!((call.http.headers["req-id"].as_str(), call.connection), (id, connection));
@@ -132,6 +199,10 @@
         let platform = Platform::new();
         let node = start(&platform, &[listing("e1", 7, "plain", partner.address)]);
         for n in 0..20 {
+            // Some calls go over new connections, others over connections that are reused.
+            if n > 10 {
+                thread::sleep(CONNECTION_REST);
+            }
             let submitted_at = Instant::now();
             assert_eq!(node.submit(&format!("m{n}"), "order", 7, 20_000).status(), 202);
             wait_until(|| node.metric("svc_open_requests") == 0);
