--- a/crates/handover/src/step.rs
+++ b/crates/handover/src/step.rs
@@ -9,6 +9,12 @@
 pub const STARTUP_TIMEOUT: Micros = 5_000_000;
 /// Maximum time for which the predecessor waits for its successor to complete the takeover.
 pub const TAKEOVER_TIMEOUT: Micros = 2_000_000;
+/// Maximum time for which a successor that does not understand the predecessor's state waits until that has no attempt in
+/// flight.
+pub const CANCELLATION_TIMEOUT: Micros = 2_000_000;
+/// Maximum time for which a predecessor whose successor has exited waits for the journal's lock, which the system releases after
+/// it has closed the connection.
+pub const JOURNAL_RELEASE_TIMEOUT: Micros = 1_000_000;
 /// Time from SIGTERM until a predecessor that has handed over abandons its outstanding attempts, because it may be
 /// killed soon after.
 pub const DRAIN_TIMEOUT: Micros = 3_500_000;
@@ -72,6 +78,12 @@
     }
 }
 
+/// Returns whether the state that a predecessor sent is older than the journal, whose latest records are of `journal_time`: it
+/// resumed after it had stopped at `stopped_at` and sent the state.
+pub fn is_superseded(stopped_at: Micros, journal_time: Micros) -> bool {
+    journal_time > stopped_at
+}
+
 /// Returns whether a predecessor that has handed over exits: it has drained everything, or [`DRAIN_TIMEOUT`] has passed
 /// since SIGTERM.
 pub fn may_exit(outstanding: usize, clients: usize, stopping_since: Option<Micros>, now: Micros) -> bool {
--- a/crates/sender/src/hand_over/mod.rs
+++ b/crates/sender/src/hand_over/mod.rs
@@ -5,6 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::fmt;
 use std::fs::{self, File};
 use std::io;
 use std::os::fd::AsRawFd;
@@ -91,18 +92,43 @@
 /// no attempt in flight.
 ///
 /// # Errors
-/// Fails when the predecessor closes the connection or sends another message.
+/// Fails when the predecessor closes the connection, sends another message or does not answer in time. It makes no decision
+/// any more in any of these cases, since this process has the journal.
 pub async fn confirm_takeover(link: &mut HandoverLink, understood: bool) -> Result<(), String> {
     link.send(&ToPredecessor::TakeoverCompleted { understood }).await?;
     if understood {
         return Ok(());
     }
-    match link.receive().await? {
-        ToSuccessor::Drained => Ok(()),
-        other => Err(format!("expected that the predecessor has drained its attempts, got {other:?}")),
+    match timeout(Duration::from_micros(step::CANCELLATION_TIMEOUT), link.receive()).await {
+        Ok(Ok(ToSuccessor::Drained)) => Ok(()),
+        Ok(Ok(other)) => {
+            Err(format!("expected that the predecessor has drained its attempts, got {other:?}"))
+        }
+        Ok(Err(error)) => Err(error),
+        Err(_) => Err("the predecessor has not drained its attempts in time".to_owned()),
+    }
+}
+
+/// Why a successor has not taken over.
+#[derive(Debug)]
+pub enum OfferError {
+    /// The connection to it failed: it has probably exited.
+    LinkFailed(String),
+    /// It has not confirmed the takeover in time. It may have the journal.
+    TimedOut,
+}
+
+impl fmt::Display for OfferError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::LinkFailed(error) => f.write_str(error),
+            Self::TimedOut => f.write_str("no confirmation in time"),
+        }
     }
 }
 
+impl std::error::Error for OfferError {}
+
 /// Sends the state to the successor and waits until it has taken over. Returns whether it understood the state.
 ///
 /// # Errors
@@ -110,13 +136,13 @@
 pub async fn offer_state(
     mut link: HandoverLink,
     state: &HandoverState,
-) -> Result<(HandoverLink, bool), String> {
-    link.send(&ToSuccessor::State(Box::new(state.clone()))).await?;
+) -> Result<(HandoverLink, bool), OfferError> {
+    link.send(&ToSuccessor::State(Box::new(state.clone()))).await.map_err(OfferError::LinkFailed)?;
     match timeout(Duration::from_micros(step::TAKEOVER_TIMEOUT), link.receive()).await {
         Ok(Ok(ToPredecessor::TakeoverCompleted { understood })) => Ok((link, understood)),
-        Ok(Ok(other)) => Err(format!("expected its confirmation, got {other:?}")),
-        Ok(Err(e)) => Err(e),
-        Err(_) => Err("no confirmation in time".to_owned()),
+        Ok(Ok(other)) => Err(OfferError::LinkFailed(format!("expected its confirmation, got {other:?}"))),
+        Ok(Err(error)) => Err(OfferError::LinkFailed(error)),
+        Err(_) => Err(OfferError::TimedOut),
     }
 }
 
--- a/crates/sender/src/process/journal.rs
+++ b/crates/sender/src/process/journal.rs
@@ -80,6 +80,25 @@
     }
 }
 
+/// Opens the journal again after a hand-over that failed. Returns none if another process has it.
+///
+/// # Errors
+/// Fails when the journal cannot be opened for another reason.
+pub(super) async fn reopen_journal(
+    config: &Config,
+    operators: &Operators,
+) -> Result<Option<Journal>, String> {
+    let clock = Clock::new();
+    let start = clock.now();
+    loop {
+        let journal = open_journal(config, operators)?;
+        if journal.is_some() || clock.now() >= start + step::JOURNAL_RELEASE_TIMEOUT {
+            return Ok(journal);
+        }
+        tokio::time::sleep(RETRY_INTERVAL).await;
+    }
+}
+
 /// Opens the journal, or takes over from the process that has it.
 ///
 /// # Errors
@@ -100,11 +119,12 @@
         let owner = if link.is_some() { JournalOwner::Responsive } else { JournalOwner::Unresponsive };
         match (step::startup_step(owner, accepts_successor, clock.now() - start), link) {
             (StartupStep::RequestTakeover, Some(link)) => match hand_over::request_takeover(link).await {
-                // The predecessor releases the journal before it sends its state.
-                Ok(predecessor) => {
-                    let journal = open_journal(config, operators)?.ok_or_else(locked)?;
-                    return Ok((journal, Some(predecessor)));
-                }
+                // The predecessor releases the journal before it sends its state. If another process has it, either the
+                // predecessor has resumed, because this process was too slow, or there is a further successor.
+                Ok(predecessor) => match open_journal(config, operators)? {
+                    Some(journal) => return Ok((journal, Some(predecessor))),
+                    None => eprintln!("hand-over: another process has the journal, retrying"),
+                },
                 Err(error) => eprintln!("hand-over request failed, retrying: {error}"),
             },
             (StartupStep::Fail, _) => return Err(locked()),
--- a/crates/sender/src/process/mod.rs
+++ b/crates/sender/src/process/mod.rs
@@ -30,7 +30,7 @@
 use crate::event_loop::{self, EventLoopParts, ExitReason, HandedOverShard, Shard};
 use crate::gossip_socket::GossipSocket;
 use crate::hand_over::socket::HandoverLink;
-use crate::hand_over::{self, DrainingConnections, Predecessor};
+use crate::hand_over::{self, DrainingConnections, OfferError, Predecessor};
 use crate::persistence::class_idempotency::ClassIdempotency;
 use crate::persistence::ejections;
 use crate::persistence::journal::JournalStore;
@@ -38,7 +38,7 @@
 use crate::ports::{Clock, Frontend, Inbound, Transport};
 use crate::shards::ShardHandle;
 
-use journal::{open_journal, open_or_take_over, record_class_idempotency, restore_policy};
+use journal::{open_journal, open_or_take_over, record_class_idempotency, reopen_journal, restore_policy};
 use shards::{ShardThread, divide_by_shards, shard_group};
 use sockets::{HANDOVER_DIVISOR, Sockets, follow_predecessor};
 
@@ -147,7 +147,7 @@
             accepts_successor,
         };
         let predecessor = match predecessor {
-            Some((link, state)) => process.take_over(link, state).await?,
+            Some((link, state)) => process.take_over(link, state, journal.latest_time()).await,
             None => TakenOver::default(),
         };
         let journal = process.share_journal(journal, &predecessor.retry_after_deadlines, clock_set_back)?;
@@ -163,12 +163,25 @@
         Ok((process, start))
     }
 
-    /// Continues from a predecessor's state, and follows the connections that it still drains.
-    async fn take_over(&self, mut link: HandoverLink, state: HandoverState) -> Result<TakenOver, String> {
-        let policy = restore_policy(&self.config, &state, self.clock.now());
-        hand_over::confirm_takeover(&mut link, policy.is_some()).await.map_err(|error| {
-            format!("hand-over: confirming the takeover to the predecessor failed: {error}")
-        })?;
+    /// Continues from a predecessor's state, and follows the connections that it still drains. This process has the journal,
+    /// so that it needs nothing more of the predecessor, which may have exited. `journal_time` is that of the latest records
+    /// in the journal.
+    async fn take_over(
+        &self,
+        mut link: HandoverLink,
+        state: HandoverState,
+        journal_time: Micros,
+    ) -> TakenOver {
+        let mut policy = restore_policy(&self.config, &state, self.clock.now());
+        if let Err(error) = hand_over::confirm_takeover(&mut link, policy.is_some()).await {
+            eprintln!("hand-over: continuing without the predecessor, which does not respond: {error}");
+            if step::is_superseded(state.stopped_at, journal_time) {
+                eprintln!(
+                    "hand-over: the predecessor resumed after it sent its state, continuing from the journal"
+                );
+                policy = None;
+            }
+        }
         self.sockets.frontend.set_request_count(state.requests.saturating_add(REQUEST_NUMBER_GAP));
         if let Some(since) = state.standby {
             self.sockets.gate.send_replace(AdmissionGate::Standby(since));
@@ -183,7 +196,7 @@
             Some(policy) => (Some((state, policy)), Vec::new()),
             None => (None, state.waits.into_iter().map(Into::into).collect()),
         };
-        Ok(TakenOver { state, process: Some(process), retry_after_deadlines })
+        TakenOver { state, process: Some(process), retry_after_deadlines }
     }
 
     /// Returns the journal for the first event loop. With several shards it divides the journal and starts the other
@@ -304,7 +317,12 @@
     ) -> Result<Option<EventLoopStart>, String> {
         let HandingOver { successor, state, outcome_counts, shard } = handing_over;
         let offered = hand_over::offer_state(successor, &state).await;
-        let journal = if offered.is_ok() { None } else { open_journal(&self.config, self.operators)? };
+        let journal = match &offered {
+            Ok(_) => None,
+            // A process that exits closes its connections before it releases its locks.
+            Err(OfferError::LinkFailed(_)) => reopen_journal(&self.config, self.operators).await?,
+            Err(OfferError::TimedOut) => open_journal(&self.config, self.operators)?,
+        };
         match (step::predecessor_step(offered.is_ok(), journal.is_some()), offered, journal) {
             (PredecessorStep::Drain, Ok((link, understood)), _) => {
                 eprintln!("{} has handed over", self.config.name);
--- a/crates/sender/tests/node/hand_over.rs
+++ b/crates/sender/tests/node/hand_over.rs
@@ -29,11 +29,11 @@
     })
 }
 
-fn send(stream: &mut UnixStream, message: &impl Serialize) {
+pub(super) fn send(stream: &mut UnixStream, message: &impl Serialize) {
     stream.write_all(&frame::write(message).unwrap()).unwrap();
 }
 
-fn receive<T: DeserializeOwned>(stream: &mut UnixStream) -> T {
+pub(super) fn receive<T: DeserializeOwned>(stream: &mut UnixStream) -> T {
     let mut head = [0; 4];
     stream.read_exact(&mut head).unwrap();
     let mut body = vec![0; frame::body_length(head).unwrap()];
--- a/crates/sender/tests/node/main.rs
+++ b/crates/sender/tests/node/main.rs
@@ -17,6 +17,7 @@
 mod slow_connects;
 mod slow_discovery;
 mod slow_notifications;
+mod takeover_failures;
 
 use std::collections::BTreeSet;
 
