The backlog of an outage counts as such until its destination is warm again

Cause: slow start divides the backlog by the time since unhealthy_since, and the first outcome after the first success set that to a moment ago, although the destination was still cold: the backlog of 12 s counted as that of some tenths of a second.

Change: unhealthy_since is kept until the destination is warm. What is queued is no older than its deadline, so that the backlog is divided by the longest deadline at most. Rejections count as a shut destination after 3 s since the last success, as before.

The recorded state is the largest one with open calls, as its test asks for.

--- a/crates/decision/src/health/assessment.rs
+++ b/crates/decision/src/health/assessment.rs
@@ -47,14 +47,15 @@
 
     /// Returns whether slow start allows a further call of that weight, with `backlog` messages queued. Where
     /// many senders have little traffic each, the usual rate alone would be too low an estimate: all queued
-    /// messages arrived since the outage began, so the traffic is also estimated as the backlog divided by
-    /// the time since then, and the higher estimate counts. Costs delay where only a few senders have
-    /// anything to send.
+    /// messages arrived since the outage began and within their deadlines, so the traffic is also estimated
+    /// as the backlog divided by that time, and the higher estimate counts. Costs delay where only a few
+    /// senders have anything to send.
     pub(crate) fn slow_start_allows(&mut self, tick: &Tick, weight: f64, backlog: f64) -> bool {
         let rules = &tick.settings.rules;
         let cold = self.cold_share(rules, tick.now).map(|share| {
-            let outage = tick.now.saturating_sub(self.outage.unhealthy_since).max(1) as f64;
-            let queued_rate = backlog * 1e6 / outage;
+            let outage = tick.now.saturating_sub(self.outage.unhealthy_since);
+            let queued_within = outage.min(tick.settings.longest_deadline()).max(1);
+            let queued_rate = backlog * 1e6 / queued_within as f64;
             let usual = self.usual_rate(rules).max(self.quota.even_share(tick.settings));
             ColdCapacity { share, own_rate: usual.max(queued_rate) }
         });
--- a/crates/decision/src/health/outage_detector.rs
+++ b/crates/decision/src/health/outage_detector.rs
@@ -31,7 +31,7 @@
     pub(super) connection_rejections: u32,
     /// When the last rejection was recorded.
     pub(super) rejected_at: Micros,
-    /// When the first sign of a possible outage was seen.
+    /// When the first sign of a possible outage was seen. Kept until the destination is warm again.
     pub(super) unhealthy_since: Micros,
     /// When the destination was last seen to work: a success, or a rejection at its usual limit.
     pub(super) working_at: Micros,
@@ -45,8 +45,8 @@
     pub(super) connection_lost_at: Micros,
     /// A call that was sent before the last answer has timed out.
     pub(super) has_late_call: bool,
-    /// The destination was unhealthy, or unknown, when it was activated: until it is warm, its outage counts
-    /// as begun then.
+    /// The destination was unhealthy, or unknown, when it was activated. Part of the state that is handed
+    /// over to processes of earlier versions.
     pub(super) activated_unhealthy: bool,
     /// The evidence of other senders suffices to consider the destination unhealthy.
     pub(super) reported_unhealthy: bool,
@@ -64,7 +64,8 @@
     /// without a limit that explains it. A destination that is shut only rejects calls, like one whose limit
     /// is used up.
     pub(super) fn is_shut(&self, rules: &Rules, now: Micros) -> bool {
-        self.unattributed_rejections >= MAX_FAILURES && now >= self.unhealthy_since + rules.overload_for
+        let rejecting_since = self.unhealthy_since.max(self.delivered_at);
+        self.unattributed_rejections >= MAX_FAILURES && now >= rejecting_since + rules.overload_for
     }
 
     /// Returns whether the destination is suspected, which limits calls until the next success: it has not
--- a/crates/decision/src/health/outcomes.rs
+++ b/crates/decision/src/health/outcomes.rs
@@ -62,8 +62,9 @@
     /// Records the outcome of a call that was sent at `sent`.
     pub(crate) fn record(&mut self, tick: &Tick, call: u64, sent: Micros, outcome: Outcome) {
         let Tick { settings, now, latency_objective, .. } = *tick;
-        let warming = self.outage.activated_unhealthy && self.cold_share(&settings.rules, now).is_some();
-        if self.outage.is_clear() && !warming {
+        // Until the destination is warm its backlog is that of the whole outage, whatever single calls show.
+        let cold = self.cold_share(&settings.rules, now).is_some();
+        if self.outage.is_clear() && !cold {
             self.outage.unhealthy_since = sent;
         }
         match outcome {
--- a/crates/decision/src/interface/settings.rs
+++ b/crates/decision/src/interface/settings.rs
@@ -256,4 +256,9 @@
     pub fn shortest_latency_objective(&self) -> Micros {
         self.classes.iter().map(|class| class.latency_objective).min().unwrap_or(0)
     }
+
+    /// Returns the longest deadline of all classes.
+    pub fn longest_deadline(&self) -> Micros {
+        self.classes.iter().map(|class| class.deadline).max().unwrap_or(0)
+    }
 }
--- a/crates/golden/src/handover.rs
+++ b/crates/golden/src/handover.rs
@@ -19,6 +19,8 @@
 const SECOND: Micros = 1_000_000;
 /// Time at which a simulation begins.
 const START: Micros = 1_800_000_000 * SECOND;
+/// When the predecessor of the recorded state stopped deciding.
+const STOPPED_AT: Micros = START + 17;
 /// Number of event batches in a simulation.
 const BATCHES: usize = 360;
 /// Number of destinations.
@@ -35,7 +37,12 @@
 pub fn files() -> io::Result<BTreeMap<String, Vec<u8>>> {
     let policy_states = policy_states()?;
     let mut files = BTreeMap::new();
-    let largest = policy_states.iter().max_by_key(|policy| policy.len()).cloned().unwrap_or_default();
+    let has_open_calls = |policy: &&Vec<u8>| {
+        Policy::from_state(policy, settings(1), 1, STOPPED_AT)
+            .is_ok_and(|policy| !policy.messages().is_empty() && policy.calls_in_flight() > 0)
+    };
+    let with_open_calls = policy_states.iter().filter(has_open_calls);
+    let largest = with_open_calls.max_by_key(|policy| policy.len()).cloned().unwrap_or_default();
     for (number, policy) in policy_states.into_iter().enumerate() {
         files.insert(format!("policy-{number}.msgpack"), policy);
     }
@@ -221,7 +228,7 @@
         unlisted,
     };
     HandoverState {
-        stopped_at: START + 17,
+        stopped_at: STOPPED_AT,
         names: [strings(&CLASSES), strings(&["plain", "apart", "bundled"]), strings(&["near", "far"])].into(),
         policy: policy.into(),
         endpoints: vec![
