The memory limit bounds the number of clients' connections

Clients may now hold a quarter of it, at 88 KiB a connection (a body with the buffer that it is read from, and a head), besides the limit by descriptors.

Test: client_connections::memory_of_clients_that_stop_half_way_stays_below_the_limit, seen to fail on the code before (58 MB at a limit of 40).

--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -25,6 +25,8 @@
     pub seed: u64,
     /// Maximum number of open file descriptors.
     pub sockets: usize,
+    /// Memory limit of the process, in bytes, if there is one.
+    pub memory: Option<u64>,
     /// Maximum disk space that files in `NODE_STATE` may occupy, in bytes.
     pub disk: u64,
     /// The address at which gossip is received, if the deployment has gossip.
@@ -61,6 +63,7 @@
 struct RawLimits {
     #[serde(default = "default_sockets")]
     sockets: usize,
+    memory_mb: Option<f64>,
     disk_mb: f64,
 }
 
@@ -173,6 +176,7 @@
         state: PathBuf::new(),
         seed: u64::from_str_radix(&raw.seed, 16).map_err(|e| format!("seed {:?}: {e}", raw.seed))?,
         sockets: raw.limits.sockets,
+        memory: raw.limits.memory_mb.filter(|limit| *limit > 0.0).map(|limit| (limit * 1e6) as u64),
         disk: (raw.limits.disk_mb * 1e6) as u64,
         peer_listen: raw.peer_listen,
         peers: raw.peers,
--- a/crates/sender/src/http/server.rs
+++ b/crates/sender/src/http/server.rs
@@ -68,6 +68,8 @@
     address: SocketAddr,
     /// Maximum number of connections at a time.
     max_clients: Cell<usize>,
+    /// The number that `max_clients` never exceeds.
+    client_ceiling: usize,
     clock: Clock,
     /// The name of each class and its longest deadline.
     classes: Vec<(Arc<str>, Micros)>,
@@ -259,16 +261,16 @@
     ) -> Self {
         let (clients, client_closed) = (RefCell::default(), Notify::new());
         let (connections_accepted, requests) = (Cell::new(0), Cell::new(0));
-        let (inherited, max_clients) = (Cell::new(inherited), Cell::new(max_clients));
         Self {
             address,
-            max_clients,
+            max_clients: Cell::new(max_clients),
+            client_ceiling: max_clients,
             clock,
             classes,
             inbound,
             shard,
             gate,
-            inherited,
+            inherited: Cell::new(inherited),
             clients,
             client_closed,
             connections_accepted,
@@ -276,8 +278,10 @@
         }
     }
 
-    /// Sets the maximum number of connections at a time. Closes idle ones if there are more.
+    /// Sets the maximum number of connections at a time, up to the one that it was created with. Closes idle ones if there are
+    /// more.
     pub fn limit_connections(&self, max_clients: usize) {
+        let max_clients = max_clients.min(self.client_ceiling);
         self.max_clients.set(max_clients);
         (max_clients..self.open_connections()).for_each(|_| self.close_idle_client());
     }
--- a/crates/sender/src/process/sockets.rs
+++ b/crates/sender/src/process/sockets.rs
@@ -21,6 +21,11 @@
 const OWN_SOCKETS: usize = 32;
 /// File descriptors of each shard: its runtime and up to eight connections to the platform, while that does not answer.
 const SHARD_SOCKETS: usize = 12;
+/// Memory that a client's connection takes at most while its request is received: the body with the buffer from which it is
+/// read, and the head.
+const CLIENT_CONNECTION_BYTES: u64 = 88 * 1024;
+/// Part of the memory limit that clients' connections may take.
+const CLIENT_MEMORY_DIVISOR: u64 = 4;
 /// While two processes run, each divides its limits of connections to clients and endpoints by this. Together with the
 /// calls that the predecessor still has in flight, both stay within the file descriptors of one process.
 pub(super) const HANDOVER_DIVISOR: usize = 3;
@@ -55,7 +60,8 @@
         let gate_changes = gate.subscribe();
         let deadlines = config.settings.classes.iter().map(|class| class.deadline);
         let classes = config.names.classes.iter().map(|name| name.as_str().into()).zip(deadlines).collect();
-        let address = (config.listen, inherited, max_connections);
+        let max_clients = max_connections.min(client_memory_limit(config, shards));
+        let address = (config.listen, inherited, max_clients);
         let frontend = HttpFrontend::new(address, clock, classes, inbound.clone(), shard, gate_changes);
         let transport = HttpTransport::new(limits, max_connections, inbound.clone());
         Self { clock, frontend: Rc::new(frontend), transport, gate, max_connections }
@@ -78,6 +84,13 @@
     (config.sockets.saturating_sub(reserved) / 2).max(1)
 }
 
+/// Returns how many clients' connections the memory limit admits for each of the shards.
+fn client_memory_limit(config: &Config, shards: usize) -> usize {
+    let Some(memory) = config.memory else { return usize::MAX };
+    let connections = memory / CLIENT_MEMORY_DIVISOR / CLIENT_CONNECTION_BYTES;
+    (connections as usize / shards).max(1)
+}
+
 /// Follows the predecessor's messages, and limits this process to its share of the file descriptors until the
 /// predecessor has exited.
 pub(super) fn follow_predecessor(
--- a/crates/sender/tests/node/client_connections.rs
+++ b/crates/sender/tests/node/client_connections.rs
@@ -261,3 +261,36 @@
     }
     panic!("there was no round in which all messages were withdrawn");
 }
+
+/// Guards against a process that is killed for its memory: clients that stopped half way through large requests were admitted up to
+/// the limit of descriptors alone.
+#[test]
+fn memory_of_clients_that_stop_half_way_stays_below_the_limit() {
+    const MEMORY_MB: u64 = 40;
+    const CLIENTS: usize = 600;
+    let platform = Platform::new();
+    let node = Node::start(&program(), &platform, &[draining("e0", 7)], |config| {
+        config["limits"]["sockets"] = json!(4096);
+        config["limits"]["memory_mb"] = json!(MEMORY_MB);
+    });
+    let mut request = submission_with("a", "order", 7, 20_000, &[b'x'; 65_536]);
+    request.truncate(request.len() - 1_536);
+    let mut peak_kb = 0;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            let mut client = TcpStream::connect(node.address).unwrap();
+            // The sender may close the connection, for which the limit is.
+            let _ = client.set_nonblocking(true);
+            let _ = client.write(&request);
+            peak_kb = peak_kb.max(node.memory_kb());
+            client
+        })
+        .collect();
+    for _ in 0..50 {
+        std::thread::sleep(Duration::from_millis(10));
+        peak_kb = peak_kb.max(node.memory_kb());
+    }
+    drop(clients);
+    assert!(peak_kb < MEMORY_MB * 1000, "{peak_kb} kB");
+    assert_eq!(node.ask(READY).status(), 200);
+}
