A discovery connection that ends under a poll is followed by the full list

Cause: a watch that broke was continued from the version of the instance before.

Change: a poll whose connection ends under it is followed by one for the full list; one that is rejected, gets no connection or is not answered in time is repeated as before. RequestError and PollFailure::Disconnected tell them apart.

Test: slow_discovery::new_instance_at_the_address_of_discovery_is_asked_for_the_full_list, seen to fail on the code before.

--- a/crates/sender/src/discovery/poll_schedule.rs
+++ b/crates/sender/src/discovery/poll_schedule.rs
@@ -13,8 +13,10 @@
 /// How a poll failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PollFailure {
-    /// The connection broke, no response arrived in time, or it can't be parsed.
+    /// No connection was established, no response arrived in time, or it can't be parsed.
     Broken,
+    /// The connection ended under the poll: the next one may reach another instance of discovery.
+    Disconnected,
     /// Discovery rejected the poll: it gets more polls than it can answer.
     Rejected,
 }
@@ -56,7 +58,7 @@
 
     /// Delay before the next poll after this failure.
     pub fn backoff(&mut self, failure: PollFailure) -> Duration {
-        if failure == PollFailure::Broken {
+        if failure != PollFailure::Rejected {
             return BROKEN_DELAY;
         }
         let multiple = 1u32.checked_shl(self.rejected_polls).unwrap_or(u32::MAX);
--- a/crates/sender/src/discovery/watch.rs
+++ b/crates/sender/src/discovery/watch.rs
@@ -18,7 +18,7 @@
 use crate::discovery::poll::{ANSWER_TIMEOUT, AttemptNumber, Poll, PollRequest, PollStep};
 use crate::discovery::poll_schedule::{PollFailure, PollSchedule};
 use crate::http::connection::Connection;
-use crate::platform_client::send_request;
+use crate::platform_client::{RequestError, send_request};
 use crate::ports::Inbound;
 
 /// Length in bytes above which a list takes a millisecond or more to parse.
@@ -44,7 +44,8 @@
     Answered(Answer<EndpointList>),
     /// Discovery has another address.
     Moved,
-    /// The changes that were asked for are not enough: the full list has to be fetched.
+    /// The changes that were asked for are not enough, or may be those of another instance of discovery: the full list has
+    /// to be fetched.
     FullListNeeded,
 }
 
@@ -58,8 +59,8 @@
 }
 
 /// Watches the endpoint list for as long as the process runs, beginning with a known version or else with the full list.
-/// When the address of discovery changes, or `full_list_needed` is notified, the watch starts over with the full list:
-/// versions of two instances of discovery must not be mixed.
+/// When the address of discovery changes, its connection ends, or `full_list_needed` is notified, the watch starts over with
+/// the full list: versions of two instances of discovery must not be mixed, and a new one may have the address of the last.
 pub async fn watch_endpoints(
     discovery: Receiver<SocketAddr>,
     initial: InitialList,
@@ -138,6 +139,10 @@
                         Some(list) => return PollEnd::Answered(Answer { list, connection }),
                         None => self.attempt_failed(&mut poll, number, PollFailure::Broken),
                     },
+                    Ok((_, Err(PollFailure::Disconnected))) if request != PollRequest::FullList => {
+                        self.report_failure();
+                        return PollEnd::FullListNeeded;
+                    }
                     Ok((number, Err(failure))) => self.attempt_failed(&mut poll, number, failure),
                     // The attempt panicked; a further one follows when it is overdue.
                     Err(_) => {}
@@ -196,7 +201,11 @@
     let request = Request::get(request.path()).header("host", address.to_string()).body(Bytes::new());
     let request = request.map_err(|_| PollFailure::Broken)?;
     let answer = send_request(&mut connection, address, request, Some(first_byte)).await;
-    match answer.map_err(|()| PollFailure::Broken)? {
+    let answer = answer.map_err(|error| match error {
+        RequestError::Disconnected => PollFailure::Disconnected,
+        RequestError::Unreachable | RequestError::InvalidResponse => PollFailure::Broken,
+    });
+    match answer? {
         (StatusCode::OK, list) => Ok(Answer { list, connection }),
         (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _) => Err(PollFailure::Rejected),
         _ => Err(PollFailure::Broken),
--- a/crates/sender/src/http/connection.rs
+++ b/crates/sender/src/http/connection.rs
@@ -354,6 +354,11 @@
         !self.failed
     }
 
+    /// Whether the connection has not ended, as far as is known.
+    pub fn is_open(&self) -> bool {
+        self.driver.is_some()
+    }
+
     /// Whether another request may be sent: the server has not closed the connection, as far as is known.
     pub async fn usable(&mut self) -> bool {
         self.is_silent().await && self.driver.is_some() && self.sender.is_ready()
--- a/crates/sender/src/notifications.rs
+++ b/crates/sender/src/notifications.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::http::connection::Connection;
-use crate::platform_client::send_request;
+use crate::platform_client::{RequestError, send_request};
 use crate::ports::{Inbound, MAX_BODY_BYTES};
 
 /// Delay before a failed notification is sent again.
@@ -38,7 +38,7 @@
     kept: &mut Option<Connection>,
     address: SocketAddr,
     request: Request<Bytes>,
-) -> Result<(StatusCode, Bytes), ()> {
+) -> Result<(StatusCode, Bytes), RequestError> {
     let mut other = None;
     let answer = {
         let mut first = pin!(send_request(kept, address, request.clone(), None));
@@ -50,7 +50,7 @@
             answer = &mut first => answer,
             answer = &mut second => match answer {
                 Ok(answer) => Ok(answer),
-                Err(()) => first.await,
+                Err(_) => first.await,
             },
         }
     };
@@ -239,6 +239,6 @@
     request: Request<Bytes>,
 ) -> Attempt {
     let answer = timeout(ANSWER_TIMEOUT, send_hedged(&mut connection, address, request)).await;
-    let status = answer.unwrap_or(Err(())).map(|(status, _)| status);
+    let status = answer.map_err(drop).and_then(|answer| answer.map_err(drop)).map(|(status, _)| status);
     Attempt { number, sent, status, connection }
 }
--- a/crates/sender/tests/node/slow_discovery.rs
+++ b/crates/sender/tests/node/slow_discovery.rs
@@ -207,6 +207,22 @@
     wait_until(|| knows(&node, "a", 8));
 }
 
+/// Guards against calls to a partner's new process at the address of another partner's that has gone: discovery started anew at
+/// its address too, and was watched from the version of the instance before.
+#[test]
+fn new_instance_at_the_address_of_discovery_is_asked_for_the_full_list() {
+    for version in [3, 41, 60] {
+        let discovery = Discovery::new(41, &[draining("e1", 7)], AT_ONCE);
+        let node = start(&discovery, &[draining("e1", 7)]);
+        discovery.watched_from(41, TOLD_AFTER_REACHABLE);
+        discovery.restart(version, &[draining("e2", 8)]);
+        let restarted_at = Instant::now();
+        discovery.watched_from(version, TOLD_AFTER_REACHABLE);
+        wait_until(|| knows(&node, "a", 8));
+        assert!(restarted_at.elapsed() < TOLD_AFTER_REACHABLE, "{:?}", restarted_at.elapsed());
+    }
+}
+
 /// The head of an answer had half a second from its first byte, and its body five seconds in all.
 #[test]
 fn lists_that_arrive_in_pieces_are_read() {
--- a/crates/test-doubles/src/discovery.rs
+++ b/crates/test-doubles/src/discovery.rs
@@ -1,7 +1,7 @@
 //! A test double for discovery alone: it answers requests for the endpoint list late, in pieces or not at all.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -50,6 +50,7 @@
     index: u64,
     endpoints: Vec<Value>,
     pace: AnswerPace,
+    connections: Vec<TcpStream>,
 }
 
 impl Discovery {
@@ -57,12 +58,13 @@
     pub fn new(index: u64, endpoints: &[Value], pace: AnswerPace) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let state = State { index, endpoints: endpoints.to_vec(), pace };
+        let state = State { index, endpoints: endpoints.to_vec(), pace, connections: Vec::new() };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let (request_sender, requests) = channel();
         let served_state = state.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                served_state.0.lock().unwrap().connections.push(stream.try_clone().unwrap());
                 let (request_sender, state) = (request_sender.clone(), served_state.clone());
                 thread::spawn(move || serve(stream, &request_sender, &state));
             }
@@ -85,6 +87,15 @@
         state.index
     }
 
+    /// Replaces this instance by another one at the same address, with this version of the list: closes all connections.
+    pub fn restart(&self, index: u64, endpoints: &[Value]) {
+        let mut state = self.state.0.lock().unwrap();
+        (state.index, state.endpoints) = (index, endpoints.to_vec());
+        for connection in state.connections.drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Waits for the next request for the list.
     pub fn next(&self) -> ListRequest {
         self.requests.recv_timeout(TIMEOUT).expect("no request for the list arrived")
