--- a/crates/sender/src/discovery/watch.rs
+++ b/crates/sender/src/discovery/watch.rs
@@ -141,6 +141,7 @@
                     },
                     Ok((_, Err(PollFailure::Disconnected))) if request != PollRequest::FullList => {
                         self.report_failure();
+                        sleep(self.schedule.backoff(PollFailure::Disconnected)).await;
                         return PollEnd::FullListNeeded;
                     }
                     Ok((number, Err(failure))) => self.attempt_failed(&mut poll, number, failure),
--- a/crates/sender/tests/node/slow_discovery.rs
+++ b/crates/sender/tests/node/slow_discovery.rs
@@ -223,6 +223,28 @@
     }
 }
 
+/// Guards against requests in a tight loop to discovery that answers requests for the full list and cuts off each watch.
+#[test]
+fn discovery_that_cuts_off_each_watch_is_not_flooded() {
+    /// A request for the full list and a watch in each 50 ms, the delay after a broken connection.
+    const MAX_REQUESTS: usize = 2 * 21;
+    let list = [draining("e0", 7)];
+    let discovery = Discovery::new(41, &list, AT_ONCE);
+    let node = start(&discovery, &list);
+    discovery.watched_from(41, TOLD_AFTER_REACHABLE);
+    discovery.restart(41, &list);
+    let end = Instant::now() + Duration::from_secs(1);
+    let mut requests = 0;
+    while let Ok(request) = discovery.requests.recv_timeout(end.saturating_duration_since(Instant::now())) {
+        requests += 1;
+        if request.path.contains("from=") {
+            discovery.restart(41, &list);
+        }
+    }
+    assert!((4..=MAX_REQUESTS).contains(&requests), "{requests} requests within a second");
+    assert!(knows(&node, "a", 7));
+}
+
 /// The head of an answer had half a second from its first byte, and its body five seconds in all.
 #[test]
 fn lists_that_arrive_in_pieces_are_read() {
